Give claims a typed record and a JSON form

Cause: the claim's value was opaque text inside the query core, which would have mixed decisions with encoding.

--- /dev/null
+++ b/core/claims.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "messages.h"
+#include "types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Claims give non-idempotent requests at-most-once semantics. A claim is an object in the store,
+// created conditionally before the request is dispatched, whichever instance the caller reaches.
+
+namespace crocusreach {
+
+enum class ClaimState : std::uint8_t {
+    Claimed, // dispatched, or about to be; the outcome isn't recorded
+    Done,
+};
+
+struct ClaimRecord
+{
+    ClaimState state = ClaimState::Claimed;
+    std::uint64_t nonce = 0; // of the arrival that made the claim
+    ShardNumber shard = {};
+    IndexVersion version = {};
+    LayoutVersion layout = {};
+    std::vector<ResultRow> rows; // the recorded outcome, if Done
+
+    auto operator==(const ClaimRecord &) const -> bool = default;
+};
+
+// Longest request id in bytes; ids become part of object keys.
+constexpr std::size_t longestRequestId = 128;
+
+// True if the id has 1 to longestRequestId letters, digits, '-', '_' or '.'.
+auto isRequestId(std::string_view id) -> bool;
+
+// "claims/<service>/<id>".
+auto claimKey(std::string_view service, std::string_view requestId) -> std::string;
+
+// What an arrival does once it has read the claim that exists.
+enum class ClaimDecision : std::uint8_t {
+    Dispatch, // the claim is this arrival's own
+    Replay, // answer with the recorded outcome
+    RefuseUnknown, // another arrival claimed the id and its outcome isn't recorded
+};
+
+auto decideOnClaim(const ClaimRecord &record, std::uint64_t nonce) -> ClaimDecision;
+
+} // namespace crocusreach
--- a/core/query.h
+++ b/core/query.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "account.h"
+#include "claims.h"
 #include "clusterview.h"
 #include "dispatch.h"
 #include "messages.h"
@@ -102,7 +103,7 @@
     CancelLeafRequest cancel;
 };
 
-// Claim of a non-idempotent request id in the store. The value is written as it is.
+// One operation on the claim of a non-idempotent request id. The runtime stores the record as JSON.
 enum class ClaimOperation : std::uint8_t { Create, Read, Update, Remove };
 
 struct ClaimCall
@@ -110,10 +111,12 @@
     QueryId query = {};
     ClaimOperation operation = ClaimOperation::Create;
     std::string key;
-    std::string value;
-    std::uint64_t version = 0; // of the object, for Update and Remove
+    ClaimRecord record; // for Create and Update
+    std::uint64_t version = 0; // expected version of the object, for Update and Remove
+    Duration timeout = {};
 };
 
+// Unknown: no reply came; a write may or may not have taken effect.
 enum class ClaimStatus : std::uint8_t { Ok, Conflict, NotFound, Unknown };
 
 struct ClaimReply
@@ -121,7 +124,7 @@
     QueryId query = {};
     ClaimOperation operation = ClaimOperation::Create;
     ClaimStatus status = ClaimStatus::Unknown;
-    std::string value;
+    ClaimRecord record; // for Read
     std::uint64_t version = 0;
 };
 
