--- a/core/account.h
+++ b/core/account.h
@@ -98,4 +98,18 @@
     std::deque<AccountPeriod> periods; // newest last
 };
 
+// The period of now, made if there is none yet; the oldest ones are dropped.
+auto currentPeriod(RollingAccounts &accounts, TimePoint now) -> AccountPeriod &;
+
+// Adds one ended attempt to its service and its target.
+auto addAttempt(RollingAccounts &accounts, ServiceId service, const AttemptAccount &attempt,
+                TimePoint now) -> void;
+
+auto add(AccountSums &sums, const AccountSums &other) -> void;
+auto add(ServiceSums &sums, const ServiceSums &other) -> void;
+
+// Sums of a service, or of a target, over all periods kept.
+auto sumOf(const RollingAccounts &accounts, ServiceId service) -> ServiceSums;
+auto sumOf(const RollingAccounts &accounts, LeafId leaf) -> AccountSums;
+
 } // namespace crocusreach
--- /dev/null
+++ b/core/query.cpp
@@ -0,0 +1,582 @@
+#include "query.h"
+
+#include "invariants.h"
+#include "merge.h"
+#include "queryattempts.h"
+#include "queryclaim.h"
+#include "querystate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusreach {
+
+namespace {
+
+// Shorter deadlines can't be met by any path through a holder and a target.
+constexpr Duration shortestDeadline = std::chrono::milliseconds(2);
+
+auto index(Reason reason) -> std::size_t
+{
+    return static_cast<std::size_t>(reason);
+}
+
+// Answers a request that was not planned.
+auto refuse(QueryState &state, const QueryArrived &request, Outcome outcome, Reason reason,
+            std::string_view text, QueryActions &actions) -> void
+{
+    auto answer = QueryAnswered();
+    answer.query = request.query;
+    answer.service = request.service;
+    answer.outcome = outcome;
+    answer.reason = reason;
+    answer.text = text;
+    ++state.counters.refused;
+    ++state.counters.refusalsByReason[index(reason)];
+    actions.emplace_back(std::move(answer));
+}
+
+auto countAnswer(QueryState &state, const RunningQuery &query, const QueryAnswered &answer,
+                 TimePoint now) -> void
+{
+    auto &sums = currentPeriod(state.accounts, now).services[query.service->id];
+    ++sums.queries;
+    sums.restarts += query.restarts;
+    sums.spent += answer.spent;
+    sums.deadline += query.deadline - query.arrivedAt;
+    sums.shardsAsked += answer.asked;
+    sums.shardsAnswered += answer.answered;
+    switch (answer.status) {
+    case AnswerStatus::Complete:
+        ++sums.complete;
+        ++state.counters.complete;
+        break;
+    case AnswerStatus::Partial:
+        ++sums.partial;
+        ++state.counters.partial;
+        break;
+    case AnswerStatus::Refused:
+        ++sums.refused;
+        ++sums.refusals[index(answer.reason)];
+        ++state.counters.refused;
+        ++state.counters.refusalsByReason[index(answer.reason)];
+        break;
+    }
+    for (const auto &missing : answer.missing) {
+        ++sums.missing[index(missing.reason)];
+        ++state.counters.missingByReason[index(missing.reason)];
+    }
+}
+
+auto attachAccount(const RunningQuery &query, QueryAnswered &answer) -> void
+{
+    if (!query.request.explain)
+        return;
+    answer.account = Account{query.deadline - query.arrivedAt, query.claim.waited, answer.spent,
+                             query.restarts, query.attempts};
+}
+
+// Sends the answer and forgets the query. All its attempts must have ended.
+auto sendAnswer(QueryState &state, RunningQuery &query, QueryAnswered &&answer, TimePoint now,
+                QueryActions &actions) -> void
+{
+    // Late only if the core had no chance to run between the deadline and now.
+    check(now <= query.deadline || state.handledAt <= query.deadline,
+          Invariant::QueryEndsByDeadline, "a query was still running after its deadline");
+    check(answer.outcome != Outcome::NotRun || !query.mayHaveRun, Invariant::NotRunIsProvable,
+          "a query that may have run was refused as not run");
+    answer.query = query.request.query;
+    answer.service = query.request.service;
+    answer.spent = now - query.arrivedAt;
+    attachAccount(query, answer);
+    countAnswer(state, query, answer, now);
+    const auto id = query.request.query;
+    actions.emplace_back(std::move(answer));
+    state.queries.erase(id);
+}
+
+// Ends a non-idempotent query: the claim is completed, released or left as it is.
+auto settleClaim(QueryState &state, const RunningQuery &query, const QueryAnswered &answer,
+                 TimePoint now, QueryActions &actions) -> void
+{
+    if (!query.claim.held)
+        return;
+    if (answer.outcome == Outcome::Done)
+        completeClaim(query, answer, actions);
+    else if (answer.outcome == Outcome::NotRun)
+        releaseClaim(query, actions);
+    else
+        keepLateClaim(state, query, now);
+}
+
+// Answers with what was merged. Shards that still wait have been given up.
+auto finish(QueryState &state, RunningQuery &query, TimePoint now, QueryActions &actions) -> void
+{
+    auto answer = QueryAnswered();
+    writeCoverage(query, answer);
+    if (!query.request.idempotent)
+        settleClaim(state, query, answer, now, actions);
+    sendAnswer(state, query, std::move(answer), now, actions);
+}
+
+auto finishIfResolved(QueryState &state, RunningQuery &query, TimePoint now, QueryActions &actions)
+        -> void
+{
+    if (query.unresolved == 0)
+        finish(state, query, now, actions);
+}
+
+auto routesOf(QueryState &state, const Service &service) -> std::shared_ptr<const ServiceRoutes>
+{
+    auto &cached = state.routes[service.id];
+    if (cached.view != state.view)
+        cached = {state.view,
+                  std::make_shared<const ServiceRoutes>(buildRoutes(*state.view, service))};
+    return cached.routes;
+}
+
+auto shardsAsked(const QueryArrived &request, const Service &service) -> std::vector<ShardProgress>
+{
+    auto shards = std::vector<ShardProgress>();
+    if (!request.shardKey.empty()) {
+        shards.emplace_back().shard = ShardNumber{
+                static_cast<std::uint32_t>(hashName(request.shardKey) % service.shardCount)};
+        return shards;
+    }
+    shards.resize(service.shardCount);
+    for (std::uint32_t shard = 0; shard < service.shardCount; ++shard)
+        shards[shard].shard = ShardNumber{shard};
+    return shards;
+}
+
+// Pins the view and the snapshot, and sends the first attempt of each shard.
+auto plan(QueryState &state, RunningQuery &query, std::optional<IndexVersion> excluded,
+          TimePoint now, QueryActions &actions) -> void
+{
+    query.view = state.view;
+    query.service = findService(*query.view->configuration, query.request.service);
+    query.routes = routesOf(state, *query.service);
+    query.snapshot = chooseSnapshot(state.snapshots, *query.service, excluded);
+    query.shards = shardsAsked(query.request, *query.service);
+    query.unresolved = static_cast<std::uint32_t>(query.shards.size());
+    query.rows.clear();
+    for (std::uint32_t shard = 0; shard < query.shards.size(); ++shard) {
+        const auto reason = startAttempt(state, query, shard, AttemptKind::First, now, actions);
+        if (reason != Reason::None)
+            markMissing(query, query.shards[shard], reason, Step::Route, query.service->name);
+    }
+}
+
+// Starts the whole query again on another snapshot, once, while half of its time is left.
+auto restart(QueryState &state, RunningQuery &query, TimePoint now, QueryActions &actions) -> bool
+{
+    const auto half = (query.deadline - query.arrivedAt) / 2;
+    const auto *service = findService(*state.view->configuration, query.request.service);
+    if (!query.request.idempotent || query.restarts > 0 || query.deadline - now < half
+        || service == nullptr)
+        return false;
+    // With an unchanged layout the version that was pinned is the one to leave.
+    const auto excluded = service->layout == query.snapshot.layout
+                                  ? std::optional(query.snapshot.version)
+                                  : std::nullopt;
+    if (excluded && number(chooseSnapshot(state.snapshots, *service, excluded).version) == 0)
+        return false;
+    cancelAll(state, query, actions);
+    ++query.restarts;
+    ++state.counters.restarts;
+    plan(state, query, excluded, now, actions);
+    return true;
+}
+
+auto validRequest(const QueryArrived &request) -> std::string_view
+{
+    if (request.idempotent)
+        return {};
+    if (!isRequestId(request.requestId))
+        return "a non-idempotent request needs a request_id of 1 to 128 letters, digits, '-', '_' "
+               "or '.'";
+    if (request.shardKey.empty())
+        return "a non-idempotent request needs a shard_key";
+    return {};
+}
+
+struct Refusal
+{
+    Reason reason = Reason::None;
+    std::string_view text;
+};
+
+// Why a request can't be accepted at all; Reason::None if it can.
+auto acceptance(const QueryState &state, const QueryArrived &request) -> Refusal
+{
+    if (state.view == nullptr || state.view->configuration->services.empty())
+        return {Reason::StoreUnavailable, "this instance has no configuration yet"};
+    if (isSelfOut(*state.view))
+        return {Reason::InstanceOut, "operators have taken this instance out"};
+    if (const auto fault = validRequest(request); !fault.empty())
+        return {Reason::BadRequest, fault};
+    const auto *service = findService(*state.view->configuration, request.service);
+    if (service == nullptr)
+        return {Reason::UnknownService, "no such service"};
+    if (service->decision.state == DesiredState::Out)
+        return {Reason::ServiceOut, "operators have taken this service out"};
+    if (state.queries.size() >= state.settings.queriesInFlight)
+        return {Reason::Overloaded, "too many queries in flight at this instance"};
+    if (request.deadline && *request.deadline < shortestDeadline)
+        return {Reason::DeadlineTooShort, "the deadline is shorter than 2 ms"};
+    return {};
+}
+
+auto onEvent(QueryState &state, const QueryArrived &request, TimePoint now, QueryActions &actions)
+        -> void
+{
+    ++state.counters.queries;
+    const auto refusal = acceptance(state, request);
+    if (refusal.reason != Reason::None) {
+        // An earlier arrival of a non-idempotent id may have run, so its refusal proves nothing
+        // unless the caller says that this is the first.
+        const auto provable = request.idempotent || request.firstAttempt
+                              || refusal.reason == Reason::BadRequest
+                              || refusal.reason == Reason::UnknownService;
+        refuse(state, request, provable ? Outcome::NotRun : Outcome::Unknown, refusal.reason,
+               refusal.text, actions);
+        return;
+    }
+    auto &query = state.queries[request.query];
+    query.request = request;
+    query.arrivedAt = now;
+    const auto allowed = request.deadline.value_or(state.settings.defaultDeadline);
+    query.deadline = now + std::min(allowed, state.settings.longestDeadline);
+    query.view = state.view;
+    query.service = findService(*state.view->configuration, request.service);
+    state.timers.push({query.deadline, TimerKind::Deadline, request.query, {}});
+    if (!request.idempotent) {
+        beginClaim(state, query, now, actions);
+        return;
+    }
+    plan(state, query, {}, now, actions);
+    finishIfResolved(state, query, now, actions);
+}
+
+auto onEvent(QueryState &state, const CallerGone &gone, TimePoint /*now*/, QueryActions &actions)
+        -> void
+{
+    const auto found = state.queries.find(gone.query);
+    // A non-idempotent request goes on, so that its outcome is recorded.
+    if (found == state.queries.end() || !found->second.request.idempotent)
+        return;
+    cancelAll(state, found->second, actions);
+    ++state.counters.callersGone;
+    state.queries.erase(found);
+}
+
+// Adds an ended attempt to the rolling accounts, and to the query's own if it was asked for.
+auto accountFor(QueryState &state, RunningQuery &query, const Attempt &attempt,
+                const LeafReply &reply, bool merged, TimePoint now) -> void
+{
+    auto account = AttemptAccount();
+    account.shard = attempt.shard;
+    account.leaf = attempt.share.leaf;
+    account.holder = attempt.holder;
+    account.outcome = reply.outcome;
+    account.reason = reply.reason;
+    account.step = reply.step;
+    account.hedge = attempt.hedge;
+    account.retry = attempt.retry;
+    account.merged = merged;
+    account.cold = reply.targetState == TargetState::Cold;
+    account.startedAfter = attempt.sentAt - query.arrivedAt;
+    account.elapsed = now - attempt.sentAt;
+    account.parts.queued = reply.timings.queued;
+    account.parts.connecting = reply.timings.connecting;
+    account.parts.target = reply.timings.target;
+    account.parts.network = std::max(account.elapsed - reply.timings.queued
+                                             - reply.timings.connecting - reply.timings.target,
+                                     Duration());
+    addAttempt(state.accounts, query.service->id, account, now);
+    if (query.request.explain) {
+        account.peer = reply.peer;
+        query.attempts.push_back(std::move(account));
+    }
+}
+
+// Deals with an attempt that gave no usable rows.
+auto onFailure(QueryState &state, RunningQuery &query, const Attempt &attempt,
+               const LeafReply &reply, Reason reason, TimePoint now, QueryActions &actions) -> void
+{
+    auto &shard = query.shards[attempt.shardIndex];
+    if (shard.status != ShardStatus::Waiting)
+        return;
+    if (retryAfter(state, query, attempt.shardIndex, attempt.share.leaf, reason, reply.outcome, now,
+                   actions))
+        return;
+    if (isRunning(shard))
+        return;
+    const auto otherSnapshot
+            = reason == Reason::VersionNotServed || reason == Reason::LayoutNotServed;
+    if (otherSnapshot && restart(state, query, now, actions))
+        return;
+    markMissing(query, shard, reason, reply.step, reply.peer);
+}
+
+auto latencyOf(QueryState &state, LeafId leaf) -> LatencyHistogram &
+{
+    const auto found = state.latency.find(leaf);
+    if (found != state.latency.end())
+        return found->second;
+    return state.latency.emplace(leaf, makeLatencyHistogram()).first->second;
+}
+
+auto onEvent(QueryState &state, const LeafReply &received, TimePoint now, QueryActions &actions)
+        -> void
+{
+    const auto found = state.attempts.find(received.attempt);
+    if (found == state.attempts.end()) {
+        ++state.counters.lateReplies;
+        completeLateClaim(state, received, actions);
+        return;
+    }
+    const auto attempt = found->second;
+    auto &query = state.queries.at(attempt.query);
+    auto &shard = query.shards[attempt.shardIndex];
+    auto reply = received;
+    if (!check(reply.shard == attempt.shard && reply.leaf == attempt.share.leaf,
+               Invariant::AnswerBelongsToQuery,
+               "a reply names another shard or leaf than its attempt"))
+        return;
+    noteServed(state.snapshots, query.service->id, reply.leaf, reply.layout, reply.servedVersions);
+    removeAttempt(state, query, received.attempt);
+    const auto succeeded = reply.outcome == Outcome::Done && reply.reason == Reason::None;
+    query.mayHaveRun = query.mayHaveRun || reply.outcome != Outcome::NotRun;
+    auto merged = MergeResult::Late;
+    if (succeeded) {
+        noteCompleted(state.routing, attempt.share, now - attempt.sentAt);
+        record(latencyOf(state, attempt.share.leaf), now - attempt.sentAt, now);
+        // A request that runs at one shard only, once, defines its own snapshot.
+        if (!query.request.idempotent)
+            query.snapshot = {reply.version, query.snapshot.layout};
+        merged = mergeReply(query, shard, reply);
+    } else {
+        noteRefusal(state.routing, attempt.share, reply.reason, now);
+    }
+    accountFor(state, query, attempt, reply, merged == MergeResult::Merged, now);
+    if (merged == MergeResult::Merged) {
+        state.counters.hedgeWins += attempt.hedge ? 1 : 0;
+        cancelShard(state, query, shard, actions);
+    } else if (merged == MergeResult::OtherSnapshot) {
+        onFailure(state, query, attempt, reply, Reason::VersionNotServed, now, actions);
+    } else if (!succeeded) {
+        onFailure(state, query, attempt, reply, reply.reason, now, actions);
+    }
+    finishIfResolved(state, query, now, actions);
+}
+
+auto onEvent(QueryState &state, const HolderDisconnected &lost, TimePoint now,
+             QueryActions &actions) -> void
+{
+    auto ended = std::vector<AttemptId>();
+    for (const auto &[id, attempt] : state.attempts) {
+        if (attempt.holder == lost.holder)
+            ended.push_back(id);
+    }
+    const auto *peer = state.view == nullptr ? nullptr : findPeer(*state.view, lost.holder);
+    for (const auto id : ended) {
+        const auto found = state.attempts.find(id);
+        if (found == state.attempts.end())
+            continue; // cancelled by the end of its query in this loop
+        auto reply = LeafReply();
+        reply.attempt = id;
+        reply.leaf = found->second.share.leaf;
+        reply.shard = found->second.shard;
+        reply.reason = Reason::HolderLost;
+        reply.step = Step::PeerCall;
+        reply.peer = peer == nullptr ? "" : peer->name;
+        onEvent(state, reply, now, actions);
+    }
+}
+
+// Answers a second arrival of a non-idempotent id with the outcome of the first.
+auto replay(QueryState &state, RunningQuery &query, const ClaimRecord &record, TimePoint now,
+            QueryActions &actions) -> void
+{
+    auto answer = QueryAnswered();
+    answer.status = AnswerStatus::Complete;
+    answer.outcome = Outcome::Done;
+    answer.replayed = true;
+    answer.version = record.version;
+    answer.layout = record.layout;
+    answer.asked = 1;
+    answer.answered = 1;
+    for (const auto &row : record.rows)
+        answer.rows.push_back({record.shard, row});
+    sendAnswer(state, query, std::move(answer), now, actions);
+}
+
+auto refuseUnknown(QueryState &state, RunningQuery &query, TimePoint now, QueryActions &actions)
+        -> void
+{
+    auto answer = QueryAnswered();
+    answer.outcome = Outcome::Unknown;
+    answer.reason = Reason::ClaimTaken;
+    answer.text = "an earlier arrival of this request_id may have run; its outcome isn't recorded";
+    sendAnswer(state, query, std::move(answer), now, actions);
+}
+
+auto onEvent(QueryState &state, const ClaimReply &reply, TimePoint now, QueryActions &actions)
+        -> void
+{
+    const auto found = state.queries.find(reply.query);
+    const auto making
+            = reply.operation == ClaimOperation::Create || reply.operation == ClaimOperation::Read;
+    if (found == state.queries.end() || found->second.claim.held || !making)
+        return;
+    auto &query = found->second;
+    auto step = continueClaim(state, query, reply, now, actions);
+    switch (step.kind) {
+    case ClaimStep::Kind::Wait:
+        return;
+    case ClaimStep::Kind::Replay:
+        replay(state, query, step.record, now, actions);
+        return;
+    case ClaimStep::Kind::Refuse:
+        refuseUnknown(state, query, now, actions);
+        return;
+    case ClaimStep::Kind::Dispatch:
+        plan(state, query, {}, now, actions);
+        finishIfResolved(state, query, now, actions);
+        return;
+    }
+}
+
+auto onEvent(QueryState &state, const ViewChanged &changed, TimePoint /*now*/,
+             QueryActions & /*actions*/) -> void
+{
+    const auto newConfiguration
+            = state.view == nullptr || state.view->configuration != changed.view->configuration;
+    state.view = changed.view;
+    if (newConfiguration)
+        noteConfiguration(state.snapshots, *state.view->leafIndex);
+}
+
+auto onEvent(QueryState & /*state*/, const Tick & /*tick*/, TimePoint /*now*/,
+             QueryActions & /*actions*/) -> void
+{
+    // Timers run after each event.
+}
+
+// A claim that wasn't made in time: this arrival did not run, but an earlier one may have.
+auto endUnclaimed(QueryState &state, RunningQuery &query, TimePoint now, QueryActions &actions)
+        -> void
+{
+    auto answer = QueryAnswered();
+    answer.outcome = query.request.firstAttempt ? Outcome::NotRun : Outcome::Unknown;
+    answer.reason = Reason::StoreUnavailable;
+    answer.text = "the request_id could not be claimed in the store; this arrival did not run";
+    sendAnswer(state, query, std::move(answer), now, actions);
+}
+
+auto onDeadline(QueryState &state, QueryId id, TimePoint now, QueryActions &actions) -> void
+{
+    const auto found = state.queries.find(id);
+    if (found == state.queries.end())
+        return;
+    auto &query = found->second;
+    if (!query.request.idempotent && !query.claim.held) {
+        endUnclaimed(state, query, now, actions);
+        return;
+    }
+    for (auto &shard : query.shards) {
+        if (shard.status != ShardStatus::Waiting)
+            continue;
+        const auto *entry = findLeaf(*query.view->leafIndex, shard.tried[0].share.leaf);
+        query.mayHaveRun = query.mayHaveRun || isRunning(shard);
+        markMissing(query, shard, Reason::DeadlineExceeded, Step::TargetCall,
+                    entry == nullptr ? std::string() : entry->leaf->address);
+    }
+    if (query.request.idempotent) {
+        cancelAll(state, query, actions);
+        finish(state, query, now, actions);
+        return;
+    }
+    // The attempt goes on at its target; its late reply completes the claim.
+    const auto running = query.shards.front();
+    finish(state, query, now, actions);
+    for (const auto &tried : running.tried) {
+        if (number(tried.running) != 0) {
+            noteEnded(state.routing, tried.share);
+            state.attempts.erase(tried.running);
+        }
+    }
+}
+
+auto runTimers(QueryState &state, TimePoint now, QueryActions &actions) -> void
+{
+    while (!state.timers.empty() && state.timers.top().at <= now) {
+        const auto timer = state.timers.top();
+        state.timers.pop();
+        if (timer.kind == TimerKind::Deadline)
+            onDeadline(state, timer.query, now, actions);
+        else
+            hedge(state, timer.attempt, now, actions);
+    }
+}
+
+} // namespace
+
+auto QueryStateDeleter::operator()(QueryState *state) const -> void
+{
+    delete state;
+}
+
+auto toString(AnswerStatus status) -> std::string_view
+{
+    switch (status) {
+    case AnswerStatus::Complete:
+        return "complete";
+    case AnswerStatus::Partial:
+        return "partial";
+    case AnswerStatus::Refused:
+        return "refused";
+    }
+    return "invalid";
+}
+
+auto makeQueryState(const QuerySettings &settings, std::uint64_t seed) -> QueryStatePtr
+{
+    auto state = QueryStatePtr(new QueryState());
+    state->settings = settings;
+    state->random.value = seed;
+    return state;
+}
+
+auto handle(QueryState &state, const QueryEvent &event, TimePoint now, QueryActions &actions)
+        -> void
+{
+    std::visit([&](const auto &happened) { onEvent(state, happened, now, actions); }, event);
+    runTimers(state, now, actions);
+    state.handledAt = now;
+}
+
+auto nextWake(const QueryState &state) -> std::optional<TimePoint>
+{
+    if (state.timers.empty())
+        return {};
+    return state.timers.top().at;
+}
+
+auto queriesInFlight(const QueryState &state) -> std::size_t
+{
+    return state.queries.size();
+}
+
+auto counters(const QueryState &state) -> const QueryCounters &
+{
+    return state.counters;
+}
+
+auto accounts(const QueryState &state) -> const RollingAccounts &
+{
+    return state.accounts;
+}
+
+} // namespace crocusreach
--- a/core/query.h
+++ b/core/query.h
@@ -167,7 +167,11 @@
     std::uint64_t firstAttempts = 0;
     std::uint64_t hedges = 0;
     std::uint64_t hedgeWins = 0;
+    std::uint64_t hedgesDenied = 0; // for lack of budget
     std::uint64_t retries = 0;
+    std::uint64_t retriesDenied = 0;
+    std::uint64_t claimRepeats = 0; // further store calls for one claim
+    std::uint64_t callersGone = 0;
     std::uint64_t restarts = 0; // whole queries started again on another snapshot
     std::uint64_t lateReplies = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(Reason::Count)> refusalsByReason = {};
--- /dev/null
+++ b/core/queryattempts.cpp
@@ -0,0 +1,222 @@
+#include "queryattempts.h"
+
+#include "hedging.h"
+#include "invariants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusreach {
+
+namespace {
+
+// Time that each hop keeps back from the deadline that it passes on, for the way of the reply.
+constexpr Duration hopMargin = std::chrono::milliseconds(1);
+
+// Two of three parts of the choice: never a share that was tried, and for a hedge or a retry
+// another leaf if there is one, since a second holder leads to the same slow target.
+auto findRoute(QueryState &state, const RunningQuery &query, const ShardProgress &shard,
+               AttemptKind kind, TimePoint now) -> RouteChoice
+{
+    auto tried = std::array<ShareKey, attemptsPerShard>();
+    for (std::size_t index = 0; index < shard.attempts; ++index)
+        tried[index] = shard.tried[index].share;
+    const auto &candidates = query.routes->shards[number(shard.shard)];
+    auto constraint = RouteConstraint{query.snapshot, std::span(tried).first(shard.attempts),
+                                      kind != AttemptKind::First};
+    const auto choose = [&] {
+        return chooseRoute(candidates, constraint, state.routing, state.snapshots,
+                           state.settings.domainAwareRouting, now, state.random);
+    };
+    auto choice = choose();
+    if (choice.candidate == nullptr && constraint.otherLeaf) {
+        constraint.otherLeaf = false;
+        choice = choose();
+    }
+    return choice;
+}
+
+auto earnBudgets(QueryState &state, ServiceId service, LeafId leaf) -> void
+{
+    for (auto *load : {&state.serviceBudgets[service], &state.leafBudgets[leaf]}) {
+        earn(load->hedges, state.settings.hedgeBudget);
+        earn(load->retries, state.settings.retryBudget);
+    }
+}
+
+auto countAttempt(QueryState &state, const RunningQuery &query, LeafId leaf, AttemptKind kind)
+        -> void
+{
+    switch (kind) {
+    case AttemptKind::First:
+        ++state.counters.firstAttempts;
+        earnBudgets(state, query.service->id, leaf);
+        break;
+    case AttemptKind::Retry:
+        ++state.counters.retries;
+        break;
+    case AttemptKind::Hedge:
+        ++state.counters.hedges;
+        break;
+    }
+}
+
+auto scheduleHedge(QueryState &state, const RunningQuery &query, LeafId leaf, AttemptId attempt,
+                   TimePoint now) -> void
+{
+    if (!state.settings.hedging || !query.request.idempotent)
+        return;
+    const auto latency = state.latency.find(leaf);
+    if (latency == state.latency.end())
+        return;
+    const auto delay = hedgeDelay(latency->second, query.deadline - now);
+    if (delay)
+        state.timers.push({now + *delay, TimerKind::Hedge, query.request.query, attempt});
+}
+
+auto makeRequest(const QueryState &state, const RunningQuery &query, const Candidate &candidate,
+                 ShardNumber shard, AttemptId attempt, AttemptKind kind) -> LeafRequest
+{
+    auto request = LeafRequest();
+    request.attempt = attempt;
+    request.origin = state.view->self;
+    request.service = query.service->id;
+    request.leaf = candidate.leaf->id;
+    request.ordinal = candidate.ordinal;
+    request.shard = shard;
+    request.version = query.snapshot.version;
+    request.layout = query.snapshot.layout;
+    request.deadline = query.deadline - hopMargin - candidate.wayThere / 2;
+    request.idempotent = query.request.idempotent;
+    request.hedge = kind == AttemptKind::Hedge;
+    request.requestId = query.request.requestId;
+    request.body = query.request.body;
+    return request;
+}
+
+// At most one attempt of a non-idempotent request may ever have run.
+auto checkAtMostOnce(const RunningQuery &query, const ShardProgress &shard) -> void
+{
+    if (query.request.idempotent)
+        return;
+    check(query.claim.held && !query.mayHaveRun && !isRunning(shard), Invariant::AtMostOnce,
+          "a non-idempotent request was about to be sent a second time, or without its claim");
+}
+
+} // namespace
+
+auto isRunning(const ShardProgress &shard) -> bool
+{
+    return std::ranges::any_of(shard.tried,
+                               [](const TriedShare &tried) { return number(tried.running) != 0; });
+}
+
+auto startAttempt(QueryState &state, RunningQuery &query, std::uint32_t shardIndex,
+                  AttemptKind kind, TimePoint now, QueryActions &actions) -> Reason
+{
+    auto &shard = query.shards[shardIndex];
+    if (shard.attempts == attemptsPerShard)
+        return Reason::NoReplica;
+    const auto choice = findRoute(state, query, shard, kind, now);
+    if (choice.candidate == nullptr)
+        return choice.reason;
+    checkAtMostOnce(query, shard);
+    const auto &candidate = *choice.candidate;
+    const auto attempt = AttemptId{++state.lastAttempt};
+    const auto share = ShareKey{candidate.leaf->id, candidate.ordinal};
+    shard.tried[shard.attempts++] = {share, attempt};
+    state.attempts[attempt] = {query.request.query,
+                               shardIndex,
+                               shard.shard,
+                               share,
+                               candidate.holder,
+                               now,
+                               kind == AttemptKind::Hedge,
+                               kind == AttemptKind::Retry};
+    noteSent(state.routing, share);
+    countAttempt(state, query, candidate.leaf->id, kind);
+    if (kind == AttemptKind::First)
+        scheduleHedge(state, query, candidate.leaf->id, attempt, now);
+    actions.emplace_back(SendLeafRequest{
+            candidate.holder, makeRequest(state, query, candidate, shard.shard, attempt, kind)});
+    return Reason::None;
+}
+
+auto retryAfter(QueryState &state, RunningQuery &query, std::uint32_t shardIndex, LeafId failedLeaf,
+                Reason reason, Outcome outcome, TimePoint now, QueryActions &actions) -> bool
+{
+    const auto rule = retryRule(reason, outcome, query.request.idempotent);
+    if (rule == RetryRule::Never || now + hopMargin >= query.deadline)
+        return false;
+    auto &serviceBudget = state.serviceBudgets[query.service->id].retries;
+    auto &leafBudget = state.leafBudgets[failedLeaf].retries;
+    const auto budgeted = rule == RetryRule::Budgeted;
+    if (budgeted && !(canSpend(serviceBudget) && canSpend(leafBudget))) {
+        ++state.counters.retriesDenied;
+        return false;
+    }
+    if (startAttempt(state, query, shardIndex, AttemptKind::Retry, now, actions) != Reason::None)
+        return false;
+    ++state.counters.retriesByReason[static_cast<std::size_t>(reason)];
+    if (budgeted) {
+        spend(serviceBudget);
+        spend(leafBudget);
+    }
+    return true;
+}
+
+auto hedge(QueryState &state, AttemptId attemptId, TimePoint now, QueryActions &actions) -> void
+{
+    const auto attempt = state.attempts.find(attemptId);
+    if (attempt == state.attempts.end())
+        return;
+    auto &query = state.queries.at(attempt->second.query);
+    auto &shard = query.shards[attempt->second.shardIndex];
+    if (shard.hedged || shard.status != ShardStatus::Waiting)
+        return;
+    auto &serviceBudget = state.serviceBudgets[query.service->id].hedges;
+    auto &leafBudget = state.leafBudgets[attempt->second.share.leaf].hedges;
+    if (!canSpend(serviceBudget) || !canSpend(leafBudget)) {
+        ++state.counters.hedgesDenied;
+        return;
+    }
+    const auto shardIndex = attempt->second.shardIndex;
+    if (startAttempt(state, query, shardIndex, AttemptKind::Hedge, now, actions) != Reason::None)
+        return;
+    shard.hedged = true;
+    spend(serviceBudget);
+    spend(leafBudget);
+}
+
+auto removeAttempt(QueryState &state, RunningQuery &query, AttemptId attempt) -> void
+{
+    const auto found = state.attempts.find(attempt);
+    for (auto &tried : query.shards[found->second.shardIndex].tried) {
+        if (tried.running == attempt)
+            tried.running = {};
+    }
+    state.attempts.erase(found);
+}
+
+auto cancelShard(QueryState &state, RunningQuery &query, ShardProgress &shard,
+                 QueryActions &actions) -> void
+{
+    for (const auto &tried : shard.tried) {
+        const auto attempt = tried.running;
+        if (number(attempt) == 0)
+            continue;
+        query.mayHaveRun = true;
+        actions.emplace_back(
+                SendCancel{state.attempts.at(attempt).holder, {state.view->self, attempt}});
+        noteEnded(state.routing, tried.share);
+        removeAttempt(state, query, attempt);
+    }
+}
+
+auto cancelAll(QueryState &state, RunningQuery &query, QueryActions &actions) -> void
+{
+    for (auto &shard : query.shards)
+        cancelShard(state, query, shard, actions);
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/queryattempts.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "query.h"
+#include "querystate.h"
+
+// Attempts of the shards of a query: first attempts, retries, hedges and their cancellation.
+
+namespace crocusreach {
+
+enum class AttemptKind : std::uint8_t { First, Retry, Hedge };
+
+// Sends an attempt for a shard if a usable candidate and the attempt limit allow it. Returns
+// Reason::None, or why nothing was sent.
+auto startAttempt(QueryState &state, RunningQuery &query, std::uint32_t shardIndex,
+                  AttemptKind kind, TimePoint now, QueryActions &actions) -> Reason;
+
+// Retries a shard after a failure if the rules and the budgets allow it. True if an attempt was
+// sent.
+auto retryAfter(QueryState &state, RunningQuery &query, std::uint32_t shardIndex, LeafId failedLeaf,
+                Reason reason, Outcome outcome, TimePoint now, QueryActions &actions) -> bool;
+
+// Sends a hedge for an attempt that has run for long, if the budgets allow it.
+auto hedge(QueryState &state, AttemptId attempt, TimePoint now, QueryActions &actions) -> void;
+
+// Forgets an attempt that has ended.
+auto removeAttempt(QueryState &state, RunningQuery &query, AttemptId attempt) -> void;
+
+// Cancels all running attempts of a shard, or of the whole query.
+auto cancelShard(QueryState &state, RunningQuery &query, ShardProgress &shard,
+                 QueryActions &actions) -> void;
+auto cancelAll(QueryState &state, RunningQuery &query, QueryActions &actions) -> void;
+
+auto isRunning(const ShardProgress &shard) -> bool;
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/retry.cpp
@@ -0,0 +1,50 @@
+#include "retry.h"
+
+#include <algorithm>
+
+namespace crocusreach {
+
+auto earn(Budget &budget, double perFirstAttempt) -> void
+{
+    budget.tokens = std::min(budget.tokens + perFirstAttempt, budgetReserve);
+}
+
+auto canSpend(const Budget &budget) -> bool
+{
+    return budget.tokens >= 1.0;
+}
+
+auto spend(Budget &budget) -> void
+{
+    budget.tokens -= 1.0;
+}
+
+auto retryRule(Reason reason, Outcome outcome, bool idempotent) -> RetryRule
+{
+    if (!idempotent && outcome != Outcome::NotRun)
+        return RetryRule::Never;
+    switch (reason) {
+    case Reason::NotHolder:
+    case Reason::NoLease:
+    case Reason::HolderUnreachable:
+    case Reason::TargetLeaving:
+    case Reason::VersionNotServed:
+    case Reason::LayoutNotServed:
+    case Reason::DomainOut:
+    case Reason::InstanceOut:
+    case Reason::Stopping:
+        return RetryRule::Free;
+    case Reason::ConnectFailed:
+    case Reason::ConnectionLost:
+    case Reason::ConnectionSilent:
+    case Reason::HolderLost:
+    case Reason::TargetError:
+    case Reason::BadReply:
+    case Reason::ColdTarget:
+        return RetryRule::Budgeted;
+    default:
+        return RetryRule::Never;
+    }
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/routing.cpp
@@ -0,0 +1,156 @@
+#include "routing.h"
+
+#include <algorithm>
+#include <array>
+
+namespace crocusreach {
+
+namespace {
+
+// Expected time of a leaf that has not been used yet; low, so that it gets tried.
+constexpr Duration unknownTime = std::chrono::milliseconds(1);
+// A share of a holder that had no lease or could not be reached is left alone for one heartbeat.
+constexpr Duration avoidTime = std::chrono::milliseconds(500);
+constexpr auto meanWeight = 8; // a new value counts one eighth
+// Candidates of one shard that are looked at; more replicas than this gain nothing.
+constexpr std::size_t mostCandidates = 32;
+
+auto unusableReason(const ClusterView &view, const LeafEntry &entry, const Share &share) -> Reason
+{
+    if (entry.service->decision.state == DesiredState::Out)
+        return Reason::ServiceOut;
+    if (!isInPlay(entry))
+        return Reason::DomainOut;
+    const auto listed = view.listing.find(entry.leaf->id);
+    if (listed != view.listing.end() && listed->second == TargetListing::Leaving)
+        return Reason::TargetLeaving;
+    if (share.holder == view.self)
+        return Reason::None;
+    const auto *peer = findPeer(view, share.holder);
+    if (peer == nullptr || !peer->reachable)
+        return Reason::HolderUnreachable;
+    return Reason::None;
+}
+
+auto contains(std::span<const ShareKey> shares, const Candidate &candidate, bool anyShareOfLeaf)
+        -> bool
+{
+    return std::ranges::any_of(shares, [&](const ShareKey &share) {
+        return share.leaf == candidate.leaf->id
+               && (anyShareOfLeaf || share.ordinal == candidate.ordinal);
+    });
+}
+
+} // namespace
+
+auto buildRoutes(const ClusterView &view, const Service &service) -> ServiceRoutes
+{
+    auto routes = ServiceRoutes();
+    routes.shards.resize(service.shardCount);
+    for (const auto &leaf : service.leafs) {
+        const auto *entry = findLeaf(*view.leafIndex, leaf.id);
+        if (entry == nullptr)
+            continue;
+        for (const auto &share : sharesOf(*view.assignment, leaf.id)) {
+            const auto *peer = findPeer(view, share.holder);
+            const auto candidate = Candidate{&leaf, share.ordinal, share.holder,
+                                             peer == nullptr ? Duration() : peer->roundTrip,
+                                             unusableReason(view, *entry, share)};
+            for (const auto shard : leaf.shards)
+                routes.shards[number(shard)].push_back(candidate);
+        }
+    }
+    return routes;
+}
+
+auto noteSent(RoutingTable &table, ShareKey share) -> void
+{
+    ++table.shares[share].outstanding;
+}
+
+auto noteCompleted(RoutingTable &table, ShareKey share, Duration elapsed) -> void
+{
+    auto &observed = table.shares[share];
+    observed.typical = observed.typical == Duration()
+                               ? elapsed
+                               : observed.typical + (elapsed - observed.typical) / meanWeight;
+    noteEnded(table, share);
+}
+
+auto noteEnded(RoutingTable &table, ShareKey share) -> void
+{
+    auto &outstanding = table.shares[share].outstanding;
+    outstanding -= outstanding > 0 ? 1 : 0;
+}
+
+auto noteRefusal(RoutingTable &table, ShareKey share, Reason reason, TimePoint now) -> void
+{
+    noteEnded(table, share);
+    const auto holderAtFault = reason == Reason::NoLease || reason == Reason::NotHolder
+                               || reason == Reason::HolderUnreachable
+                               || reason == Reason::HolderLost;
+    if (holderAtFault)
+        table.shares[share].avoidUntil = now + avoidTime;
+}
+
+auto expectedTime(const RoutingTable &table, const Candidate &candidate, bool domainAware)
+        -> Duration
+{
+    const auto found = table.shares.find({candidate.leaf->id, candidate.ordinal});
+    const auto way = domainAware ? candidate.wayThere : Duration();
+    if (found == table.shares.end() || found->second.typical == Duration())
+        return unknownTime + way;
+    // The observed time already includes the way to the holder. Requests beyond the slots wait.
+    const auto &observed = found->second;
+    const auto queued
+            = observed.typical * observed.outstanding / std::max<int>(candidate.leaf->slots, 1);
+    return domainAware ? observed.typical + queued
+                       : std::max(observed.typical - candidate.wayThere, Duration()) + queued;
+}
+
+auto nextRandom(RandomState &random) -> std::uint64_t
+{
+    random.value = hashPair(random.value, 0x9e3779b97f4a7c15ULL);
+    return random.value;
+}
+
+auto chooseRoute(std::span<const Candidate> candidates, const RouteConstraint &constraint,
+                 const RoutingTable &table, const SnapshotTable &snapshots, bool domainAware,
+                 TimePoint now, RandomState &random) -> RouteChoice
+{
+    auto usable = std::array<const Candidate *, mostCandidates>();
+    auto avoided = std::array<const Candidate *, mostCandidates>();
+    auto usableCount = std::size_t{0};
+    auto avoidedCount = std::size_t{0};
+    auto reason = Reason::NoReplica;
+    for (const auto &candidate : candidates.first(std::min(candidates.size(), mostCandidates))) {
+        if (contains(constraint.tried, candidate, constraint.otherLeaf))
+            continue;
+        if (candidate.unusable != Reason::None) {
+            reason = candidate.unusable;
+            continue;
+        }
+        if (!mayServe(snapshots, candidate.leaf->id, constraint.snapshot)) {
+            reason = Reason::VersionNotServed;
+            continue;
+        }
+        const auto found = table.shares.find({candidate.leaf->id, candidate.ordinal});
+        if (found != table.shares.end() && found->second.avoidUntil > now)
+            avoided[avoidedCount++] = &candidate;
+        else
+            usable[usableCount++] = &candidate;
+    }
+    auto &pool = usableCount > 0 ? usable : avoided;
+    const auto count = usableCount > 0 ? usableCount : avoidedCount;
+    if (count == 0)
+        return {nullptr, reason};
+    const auto first = nextRandom(random) % count;
+    if (count == 1)
+        return {pool[first], Reason::None};
+    const auto second = (first + 1 + nextRandom(random) % (count - 1)) % count;
+    const auto firstTime = expectedTime(table, *pool[first], domainAware);
+    const auto secondTime = expectedTime(table, *pool[second], domainAware);
+    return {pool[firstTime <= secondTime ? first : second], Reason::None};
+}
+
+} // namespace crocusreach
