--- a/core/types.h
+++ b/core/types.h
@@ -166,4 +166,7 @@
     using Handlers::operator()...;
 };
 
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
 } // namespace crocusreach
