--- a/core/account.cpp
+++ b/core/account.cpp
@@ -10,6 +10,7 @@
     sum.queued += parts.queued;
     sum.connecting += parts.connecting;
     sum.target += parts.target;
+    sum.unanswered += parts.unanswered;
 }
 
 template <typename Counts>
--- a/core/account.h
+++ b/core/account.h
@@ -21,6 +21,7 @@
     Duration queued = {}; // waiting for a slot at the holder
     Duration connecting = {}; // opening a connection to the target
     Duration target = {}; // from the request's send to the target's reply
+    Duration unanswered = {}; // of an attempt that was given up without a reply
 };
 
 // One attempt as the query core saw it.
--- a/core/query.cpp
+++ b/core/query.cpp
@@ -2,6 +2,7 @@
 
 #include "invariants.h"
 #include "merge.h"
+#include "queryaccount.h"
 #include "queryattempts.h"
 #include "queryclaim.h"
 #include "querystate.h"
@@ -23,7 +24,7 @@
 
 // Answers a request that was not planned.
 auto refuse(QueryState &state, const QueryArrived &request, Outcome outcome, Reason reason,
-            std::string_view text, QueryActions &actions) -> void
+            std::string_view text, TimePoint now, QueryActions &actions) -> void
 {
     auto answer = QueryAnswered();
     answer.query = request.query;
@@ -33,6 +34,14 @@
     answer.text = text;
     ++state.counters.refused;
     ++state.counters.refusalsByReason[index(reason)];
+    // An undeclared name gets no account, so that callers can't fill the memory with them.
+    if (state.view != nullptr
+        && findService(*state.view->configuration, request.service) != nullptr) {
+        auto &sums = currentPeriod(state.accounts, now).services[serviceId(request.service)];
+        ++sums.queries;
+        ++sums.refused;
+        ++sums.refusals[index(reason)];
+    }
     actions.emplace_back(std::move(answer));
 }
 
@@ -181,7 +190,7 @@
                                   : std::nullopt;
     if (excluded && number(chooseSnapshot(state.snapshots, *service, excluded).version) == 0)
         return false;
-    cancelAll(state, query, actions);
+    cancelAll(state, query, Reason::Cancelled, now, actions);
     ++query.restarts;
     ++state.counters.restarts;
     plan(state, query, excluded, now, actions);
@@ -213,11 +222,11 @@
         return {Reason::StoreUnavailable, "this instance has no configuration yet"};
     if (isSelfOut(*state.view))
         return {Reason::InstanceOut, "operators have taken this instance out"};
-    if (const auto fault = validRequest(request); !fault.empty())
-        return {Reason::BadRequest, fault};
     const auto *service = findService(*state.view->configuration, request.service);
     if (service == nullptr)
         return {Reason::UnknownService, "no such service"};
+    if (const auto fault = validRequest(request); !fault.empty())
+        return {Reason::BadRequest, fault};
     if (service->decision.state == DesiredState::Out)
         return {Reason::ServiceOut, "operators have taken this service out"};
     if (state.queries.size() >= state.settings.queriesInFlight)
@@ -239,7 +248,7 @@
                               || refusal.reason == Reason::BadRequest
                               || refusal.reason == Reason::UnknownService;
         refuse(state, request, provable ? Outcome::NotRun : Outcome::Unknown, refusal.reason,
-               refusal.text, actions);
+               refusal.text, now, actions);
         return;
     }
     auto &query = state.queries[request.query];
@@ -258,48 +267,18 @@
     finishIfResolved(state, query, now, actions);
 }
 
-auto onEvent(QueryState &state, const CallerGone &gone, TimePoint /*now*/, QueryActions &actions)
+auto onEvent(QueryState &state, const CallerGone &gone, TimePoint now, QueryActions &actions)
         -> void
 {
     const auto found = state.queries.find(gone.query);
     // A non-idempotent request goes on, so that its outcome is recorded.
     if (found == state.queries.end() || !found->second.request.idempotent)
         return;
-    cancelAll(state, found->second, actions);
+    cancelAll(state, found->second, Reason::Cancelled, now, actions);
     ++state.counters.callersGone;
     state.queries.erase(found);
 }
 
-// Adds an ended attempt to the rolling accounts, and to the query's own if it was asked for.
-auto accountFor(QueryState &state, RunningQuery &query, const Attempt &attempt,
-                const LeafReply &reply, bool merged, TimePoint now) -> void
-{
-    auto account = AttemptAccount();
-    account.shard = attempt.shard;
-    account.leaf = attempt.share.leaf;
-    account.holder = attempt.holder;
-    account.outcome = reply.outcome;
-    account.reason = reply.reason;
-    account.step = reply.step;
-    account.hedge = attempt.hedge;
-    account.retry = attempt.retry;
-    account.merged = merged;
-    account.cold = reply.targetState == TargetState::Cold;
-    account.startedAfter = attempt.sentAt - query.arrivedAt;
-    account.elapsed = now - attempt.sentAt;
-    account.parts.queued = reply.timings.queued;
-    account.parts.connecting = reply.timings.connecting;
-    account.parts.target = reply.timings.target;
-    account.parts.network = std::max(account.elapsed - reply.timings.queued
-                                             - reply.timings.connecting - reply.timings.target,
-                                     Duration());
-    addAttempt(state.accounts, query.service->id, account, now);
-    if (query.request.explain) {
-        account.peer = reply.peer;
-        query.attempts.push_back(std::move(account));
-    }
-}
-
 // Deals with an attempt that gave no usable rows.
 auto onFailure(QueryState &state, RunningQuery &query, const Attempt &attempt,
                const LeafReply &reply, Reason reason, TimePoint now, QueryActions &actions) -> void
@@ -359,10 +338,10 @@
     } else {
         noteRefusal(state.routing, attempt.share, reply.reason, now);
     }
-    accountFor(state, query, attempt, reply, merged == MergeResult::Merged, now);
+    accountForReply(state, query, attempt, reply, merged == MergeResult::Merged, now);
     if (merged == MergeResult::Merged) {
         state.counters.hedgeWins += attempt.hedge ? 1 : 0;
-        cancelShard(state, query, shard, actions);
+        cancelShard(state, query, shard, Reason::Cancelled, now, actions);
     } else if (merged == MergeResult::OtherSnapshot) {
         onFailure(state, query, attempt, reply, Reason::VersionNotServed, now, actions);
     } else if (!succeeded) {
@@ -494,7 +473,7 @@
                     entry == nullptr ? std::string() : entry->leaf->address);
     }
     if (query.request.idempotent) {
-        cancelAll(state, query, actions);
+        cancelAll(state, query, Reason::DeadlineExceeded, now, actions);
         finish(state, query, now, actions);
         return;
     }
--- a/core/queryattempts.cpp
+++ b/core/queryattempts.cpp
@@ -2,6 +2,7 @@
 
 #include "hedging.h"
 #include "invariants.h"
+#include "queryaccount.h"
 
 #include <algorithm>
 #include <utility>
@@ -198,14 +199,15 @@
     state.attempts.erase(found);
 }
 
-auto cancelShard(QueryState &state, RunningQuery &query, ShardProgress &shard,
-                 QueryActions &actions) -> void
+auto cancelShard(QueryState &state, RunningQuery &query, ShardProgress &shard, Reason reason,
+                 TimePoint now, QueryActions &actions) -> void
 {
     for (const auto &tried : shard.tried) {
         const auto attempt = tried.running;
         if (number(attempt) == 0)
             continue;
         query.mayHaveRun = true;
+        accountForGivenUp(state, query, state.attempts.at(attempt), reason, now);
         actions.emplace_back(
                 SendCancel{state.attempts.at(attempt).holder, {state.view->self, attempt}});
         noteEnded(state.routing, tried.share);
@@ -213,10 +215,11 @@
     }
 }
 
-auto cancelAll(QueryState &state, RunningQuery &query, QueryActions &actions) -> void
+auto cancelAll(QueryState &state, RunningQuery &query, Reason reason, TimePoint now,
+               QueryActions &actions) -> void
 {
     for (auto &shard : query.shards)
-        cancelShard(state, query, shard, actions);
+        cancelShard(state, query, shard, reason, now, actions);
 }
 
 } // namespace crocusreach
--- a/core/queryattempts.h
+++ b/core/queryattempts.h
@@ -25,10 +25,11 @@
 // Forgets an attempt that has ended.
 auto removeAttempt(QueryState &state, RunningQuery &query, AttemptId attempt) -> void;
 
-// Cancels all running attempts of a shard, or of the whole query.
-auto cancelShard(QueryState &state, RunningQuery &query, ShardProgress &shard,
-                 QueryActions &actions) -> void;
-auto cancelAll(QueryState &state, RunningQuery &query, QueryActions &actions) -> void;
+// Cancels all running attempts of a shard, or of the whole query. The reason is for the accounts.
+auto cancelShard(QueryState &state, RunningQuery &query, ShardProgress &shard, Reason reason,
+                 TimePoint now, QueryActions &actions) -> void;
+auto cancelAll(QueryState &state, RunningQuery &query, Reason reason, TimePoint now,
+               QueryActions &actions) -> void;
 
 auto isRunning(const ShardProgress &shard) -> bool;
 
