Add the holder's decision core

The dispatch task needs decisions for the shares that an instance holds. This adds a queue ordered by deadline, latency quantiles, start identities with the ramp, connections, leases, leaving targets, silent connections and the report of shares given up. handle() gets an overload for events that are no longer needed, so that the rows of a reply are moved.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -142,6 +142,10 @@
 auto handle(DispatchState &state, const DispatchEvent &event, TimePoint now,
             DispatchActions &actions) -> void;
 
+// The same for an event that is no longer needed: rows are moved, not copied.
+auto handle(DispatchState &state, DispatchEvent &&event, TimePoint now, DispatchActions &actions)
+        -> void;
+
 // When the state next needs a Tick, if at all.
 auto nextWake(const DispatchState &state) -> std::optional<TimePoint>;
 
--- /dev/null
+++ b/core/dispatchview.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "dispatchstate.h"
+#include "types.h"
+
+// What a new cluster view changes for the holder: shares, limits, desired states, listings.
+
+namespace crocusreach {
+
+auto applyView(DispatchState &state, const ClusterViewPtr &view, TimePoint now,
+               DispatchActions &actions) -> void;
+
+// Reports shares given up once nothing runs on them any more. To be called after each event.
+auto reportDrained(DispatchState &state, DispatchActions &actions) -> void;
+
+// Forgets a leaf without shares held here once nothing runs at it.
+auto retireLeaf(DispatchState &state, std::uint32_t index, DispatchActions &actions) -> void;
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/limiter.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "types.h"
+
+#include <cstdint>
+#include <vector>
+
+// The bounded queue of one leaf's shares, ordered by deadline, and the decision to shed early.
+
+namespace crocusreach {
+
+struct WaitingEntry
+{
+    TimePoint deadline = {};
+    std::uint32_t attempt = 0; // index of the waiting attempt
+};
+
+// The earliest deadline is last, so that taking it moves nothing.
+struct WaitingQueue
+{
+    std::vector<WaitingEntry> entries;
+};
+
+auto enqueue(WaitingQueue &queue, WaitingEntry entry) -> void;
+
+// Removes the entry; false if it isn't waiting.
+auto dequeue(WaitingQueue &queue, WaitingEntry entry) -> bool;
+
+// Number of entries with an earlier deadline.
+auto entriesBefore(const WaitingQueue &queue, TimePoint deadline) -> std::size_t;
+
+// What decides whether one more request can be served in time.
+struct LoadEstimate
+{
+    std::size_t ahead = 0; // requests that will be sent first
+    std::uint32_t running = 0;
+    std::uint32_t allowed = 0; // concurrency
+    Duration shortest = {}; // service time that nearly all requests need; zero if unknown
+    Duration typical = {};
+};
+
+// Reason::None if the deadline can be met, Overloaded if the wait is too long, DeadlineTooShort if
+// it could not be met without any wait. A request to an idle leaf is never refused: without it
+// the service times would not be observed again.
+auto refusalByDeadline(const LoadEstimate &load, TimePoint deadline, TimePoint now) -> Reason;
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/sending.cpp
@@ -0,0 +1,315 @@
+#include "sending.h"
+
+#include "invariants.h"
+
+#include <algorithm>
+
+namespace crocusreach {
+
+namespace {
+
+// With less time than this left of the lease a target could not serve any request.
+constexpr Duration shortestUsefulLease = std::chrono::milliseconds(1);
+
+auto allowedNow(const DispatchState &state, const LeafState &leaf) -> std::uint32_t
+{
+    return state.settings.coldRamp ? allowedRequests(leaf.cold, rampLimits(leaf)) : leaf.size.slots;
+}
+
+auto makeReply(const LeafState *leaf, const LeafRequest &request, Outcome outcome, Reason reason)
+        -> LeafReply
+{
+    auto reply = LeafReply();
+    reply.attempt = request.attempt;
+    reply.leaf = request.leaf;
+    reply.shard = request.shard;
+    reply.outcome = outcome;
+    reply.reason = reason;
+    reply.version = request.version;
+    reply.layout = request.layout;
+    if (leaf != nullptr) {
+        reply.targetState = leaf->targetState;
+        reply.queueLength = static_cast<std::uint32_t>(leaf->waiting.entries.size());
+    }
+    return reply;
+}
+
+// The connection for a request, if the limits allow one now.
+struct SendPlan
+{
+    std::size_t connection = 0;
+    bool unverified = false;
+    bool closeIdle = false; // no closed connection is left for a request that needs a fresh one
+};
+
+auto mayOpen(const DispatchState &state, const LeafState &leaf) -> bool
+{
+    return !state.settings.coldRamp || state.mutations.ignoreColdSlots
+           || leaf.unverified < rampLimits(leaf).coldSlots;
+}
+
+auto planIdempotent(const DispatchState &state, const LeafState &leaf,
+                    const ConnectionChoice &choice) -> std::optional<SendPlan>
+{
+    if (choice.verified)
+        return SendPlan{*choice.verified, false, false};
+    if (!mayOpen(state, leaf))
+        return std::nullopt;
+    if (choice.closed)
+        return SendPlan{*choice.closed, true, false};
+    if (choice.unverified)
+        return SendPlan{*choice.unverified, true, false};
+    return std::nullopt;
+}
+
+// A client may by itself send a request again when a connection that it reuses closes before the
+// reply. A request marked non-idempotent therefore gets a fresh connection.
+auto planNonIdempotent(const DispatchState &state, const LeafState &leaf,
+                       const ConnectionChoice &choice) -> std::optional<SendPlan>
+{
+    if (!mayOpen(state, leaf))
+        return std::nullopt;
+    if (choice.closed)
+        return SendPlan{*choice.closed, true, false};
+    if (choice.unverified)
+        return SendPlan{*choice.unverified, true, true};
+    if (choice.verified)
+        return SendPlan{*choice.verified, true, true};
+    return std::nullopt;
+}
+
+auto hasRoom(const DispatchState &state, const LeafState &leaf) -> bool
+{
+    const auto &mutations = state.mutations;
+    if (leaf.running >= leaf.size.slots && !mutations.ignoreSlots)
+        return false;
+    return runningOnCurrent(leaf) < allowedNow(state, leaf) || mutations.ignoreSlots
+           || mutations.ignoreColdSlots;
+}
+
+auto chooseForSend(const DispatchState &state, LeafState &leaf) -> ConnectionChoice
+{
+    if (state.mutations.ignoreConnections)
+        leaf.connections.emplace_back();
+    auto choice = chooseConnections(leaf);
+    if (state.mutations.ignoreConnections)
+        choice = {std::nullopt, leaf.connections.size() - 1, std::nullopt};
+    return choice;
+}
+
+struct Candidate
+{
+    std::uint32_t attempt = 0;
+    SendPlan plan;
+};
+
+// The waiting request with the earliest deadline that the limits let through. A request that needs
+// a fresh connection doesn't block a later one that has a verified connection.
+auto nextCandidate(const DispatchState &state, LeafState &leaf) -> std::optional<Candidate>
+{
+    if (leaf.waiting.entries.empty() || !hasRoom(state, leaf))
+        return std::nullopt;
+    const auto choice = chooseForSend(state, leaf);
+    const auto forIdempotent = planIdempotent(state, leaf, choice);
+    const auto forOthers = planNonIdempotent(state, leaf, choice);
+    if (!forIdempotent && !forOthers)
+        return std::nullopt;
+    for (auto entry = leaf.waiting.entries.rbegin(); entry != leaf.waiting.entries.rend();
+         ++entry) {
+        const auto &request = state.attempts.attempts[entry->attempt].request;
+        if (const auto &plan = request.idempotent ? forIdempotent : forOthers)
+            return Candidate{entry->attempt, *plan};
+    }
+    return std::nullopt;
+}
+
+auto checkLimits(const DispatchState &state, const LeafState &leaf) -> void
+{
+    const auto usage = countUsage(leaf);
+    check(usage.running <= leaf.size.slots, Invariant::SlotLimit,
+          "more requests run at a leaf than the shares held have slots");
+    check(usage.connections + (mayProbe(leaf) ? 1 : 0) <= leaf.size.connections,
+          Invariant::ConnectionLimit, "more connections than the shares held have");
+    if (!state.settings.coldRamp)
+        return;
+    check(usage.unverified <= leaf.size.coldSlots, Invariant::ColdLimit,
+          "more requests on unverified connections than the shares held have cold slots");
+    check(runningOnCurrent(leaf) <= allowedNow(state, leaf), Invariant::ColdLimit,
+          "more requests than the ramp allows");
+}
+
+// Looks at the view itself, not at what was derived from it.
+auto checkMaySend(const DispatchState &state, const LeafState &leaf, const Attempt &attempt,
+                  TimePoint now) -> void
+{
+    check(attempt.sentDeadline <= state.view->leaseEnd && now < state.view->leaseEnd,
+          Invariant::NoDispatchWithoutLease, "a request's deadline is after the end of the lease");
+    const auto *entry = findLeaf(*state.view->leafIndex, leaf.id);
+    check(entry != nullptr && isInPlay(*entry), Invariant::NoWorkToFailureDomainOut,
+          "a request to a leaf whose failure domain or service is out");
+    check(!leaf.draining && !leaf.listedLeaving, Invariant::NoWorkToLeavingTarget,
+          "a request to a leaf that is leaving");
+}
+
+auto send(DispatchState &state, LeafState &leaf, const Candidate &candidate, TimePoint now,
+          DispatchActions &actions) -> void
+{
+    auto &attempt = state.attempts.attempts[candidate.attempt];
+    const auto &request = attempt.request;
+    const auto &connection = leaf.connections[candidate.plan.connection];
+    if (candidate.plan.closeIdle) {
+        actions.emplace_back(TargetClose{leaf.id});
+        closeIdleConnections(leaf);
+    }
+    check(attempt.phase == AttemptPhase::Waiting, Invariant::AtMostOnce,
+          "a request that was sent before is sent again");
+    attempt.phase = AttemptPhase::Running;
+    attempt.send = nextSendId(state.attempts, candidate.attempt);
+    attempt.sentAt = now;
+    attempt.sentDeadline
+            = state.mutations.ignoreLease ? request.deadline : targetDeadline(state, request);
+    attempt.connection = static_cast<ConnectionIndex>(candidate.plan.connection);
+    attempt.opensConnection = !connection.open;
+    attempt.doubts = leaf.cold.doubts;
+    occupyConnection(leaf, candidate.plan.connection, candidate.plan.unverified);
+    ++leaf.counters.sent;
+    checkLimits(state, leaf);
+    checkMaySend(state, leaf, attempt, now);
+    auto due = attempt.sentDeadline;
+    if (request.idempotent)
+        due = std::min(due, silentAt(leaf, state.settings, now, now).value_or(due));
+    arm(state.attemptTimers, candidate.attempt, due);
+    actions.emplace_back(TargetSend{attempt.send, leaf.id, leaf.address, attempt.connection,
+                                    candidate.plan.unverified, request.idempotent, request.shard,
+                                    request.version, request.layout, attempt.sentDeadline,
+                                    request.requestId, request.body});
+}
+
+} // namespace
+
+auto refuse(DispatchState &state, const LeafRequest &request, Reason reason,
+            DispatchActions &actions) -> void
+{
+    const auto found = state.leafIndexes.find(request.leaf);
+    const auto *leaf = found == state.leafIndexes.end() ? nullptr : &state.leafs[found->second];
+    auto reply = makeReply(leaf, request, Outcome::NotRun, reason);
+    reply.step = Step::Queue;
+    reply.peer = state.selfName;
+    actions.emplace_back(LeafReplyTo{request.origin, std::move(reply)});
+}
+
+auto refuseWaiting(DispatchState &state, std::uint32_t index, Reason reason, TimePoint now,
+                   DispatchActions &actions) -> void
+{
+    auto &attempt = state.attempts.attempts[index];
+    auto &leaf = state.leafs[attempt.leaf];
+    check(attempt.phase == AttemptPhase::Waiting, Invariant::NotRunIsProvable,
+          "a request that was sent is refused as not run");
+    dequeue(leaf.waiting, {attempt.request.deadline, index});
+    auto reply = makeReply(&leaf, attempt.request, Outcome::NotRun, reason);
+    reply.step = Step::Queue;
+    reply.peer = state.selfName;
+    reply.timings.queued = now - attempt.arrived;
+    actions.emplace_back(LeafReplyTo{attempt.request.origin, std::move(reply)});
+    release(state, index);
+}
+
+auto refuseAllWaiting(DispatchState &state, LeafState &leaf, Reason reason, TimePoint now,
+                      DispatchActions &actions) -> void
+{
+    while (!leaf.waiting.entries.empty())
+        refuseWaiting(state, leaf.waiting.entries.back().attempt, reason, now, actions);
+}
+
+auto answerUnknown(DispatchState &state, const Attempt &attempt, Reason reason, TimePoint now,
+                   DispatchActions &actions) -> void
+{
+    const auto &leaf = state.leafs[attempt.leaf];
+    auto reply = makeReply(&leaf, attempt.request, Outcome::Unknown, reason);
+    reply.step = Step::TargetCall;
+    reply.peer = leaf.address;
+    reply.timings.queued = attempt.sentAt - attempt.arrived;
+    reply.timings.target = now - attempt.sentAt;
+    actions.emplace_back(LeafReplyTo{attempt.request.origin, std::move(reply)});
+}
+
+auto release(DispatchState &state, std::uint32_t index) -> void
+{
+    auto &attempt = state.attempts.attempts[index];
+    if (attempt.phase != AttemptPhase::Waiting)
+        freeConnection(state.leafs[attempt.leaf], number(attempt.connection));
+    disarm(state.attemptTimers, index);
+    setIndex(state.memory, {attempt.request.origin, attempt.request.attempt}, endedAttempt);
+    releaseAttempt(state.attempts, index);
+}
+
+auto wait(DispatchState &state, std::uint32_t index, TimePoint now) -> void
+{
+    auto &attempt = state.attempts.attempts[index];
+    auto &leaf = state.leafs[attempt.leaf];
+    attempt.phase = AttemptPhase::Waiting;
+    enqueue(leaf.waiting, {attempt.request.deadline, index});
+    const auto &latency = summarize(leaf.latency, now);
+    const auto latest = attempt.request.deadline - (latency.known ? latency.p10 : Duration());
+    arm(state.attemptTimers, index, std::min(std::max(now, latest), state.view->leaseEnd));
+}
+
+auto targetDeadline(const DispatchState &state, const LeafRequest &request) -> TimePoint
+{
+    return std::min(request.deadline, state.view->leaseEnd);
+}
+
+auto refusalByTime(const DispatchState &state, LeafState &leaf, const LeafRequest &request,
+                   std::size_t ahead, TimePoint now) -> Reason
+{
+    if (request.deadline <= now)
+        return Reason::DeadlineExceeded;
+    const auto &latency = summarize(leaf.latency, now);
+    const auto shortest = latency.known ? latency.p10 : Duration();
+    const auto typical = latency.known ? latency.p50 : Duration();
+    const auto left = state.view->leaseEnd - now;
+    const auto leaseEndsFirst = state.view->leaseEnd < request.deadline;
+    if (leaseEndsFirst && left <= std::max(shortest, shortestUsefulLease)
+        && !state.mutations.ignoreLease)
+        return Reason::NoLease;
+    const auto load = LoadEstimate{ahead, leaf.running, allowedNow(state, leaf), shortest, typical};
+    return refusalByDeadline(load, request.deadline, now);
+}
+
+auto sendWaiting(DispatchState &state, std::uint32_t leafIndex, TimePoint now,
+                 DispatchActions &actions) -> void
+{
+    auto &leaf = state.leafs[leafIndex];
+    while (const auto candidate = nextCandidate(state, leaf)) {
+        const auto &request = state.attempts.attempts[candidate->attempt].request;
+        const auto reason = refusalByTime(state, leaf, request, 0, now);
+        if (reason != Reason::None) {
+            // It was admitted with time to spare, so that the queue cost it that time.
+            refuseWaiting(state, candidate->attempt,
+                          reason == Reason::DeadlineTooShort ? Reason::Overloaded : reason, now,
+                          actions);
+            continue;
+        }
+        dequeue(leaf.waiting, {request.deadline, candidate->attempt});
+        send(state, leaf, *candidate, now, actions);
+    }
+}
+
+auto sendProbe(DispatchState &state, LeafState &leaf, bool silentCheck, TimePoint now,
+               DispatchActions &actions) -> void
+{
+    // A probe that isn't answered in this many health intervals is given up.
+    constexpr auto patience = 5;
+    if (!mayProbe(leaf))
+        return;
+    if (leaf.probe.outstanding
+        && now - leaf.probe.sentAt < state.settings.healthInterval * patience) {
+        leaf.probe.checkWanted = leaf.probe.checkWanted || silentCheck;
+        return;
+    }
+    const auto newConnection = silentCheck || leaf.probe.lastFailed;
+    leaf.probe = {true, now, silentCheck, false, false};
+    actions.emplace_back(TargetProbe{leaf.id, leaf.address, newConnection});
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/sending.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "dispatchstate.h"
+#include "types.h"
+
+#include <cstdint>
+
+// Answers to leaf requests, and the choice of the next request that a leaf gets.
+
+namespace crocusreach {
+
+// Refuses a request that was never queued.
+auto refuse(DispatchState &state, const LeafRequest &request, Reason reason,
+            DispatchActions &actions) -> void;
+
+// Refuses an attempt that waits: it is removed from the queue and answered with NotRun.
+auto refuseWaiting(DispatchState &state, std::uint32_t index, Reason reason, TimePoint now,
+                   DispatchActions &actions) -> void;
+
+// Refuses all waiting attempts of a leaf.
+auto refuseAllWaiting(DispatchState &state, LeafState &leaf, Reason reason, TimePoint now,
+                      DispatchActions &actions) -> void;
+
+// Answers an attempt that was sent and that brought no reply of the target.
+auto answerUnknown(DispatchState &state, const Attempt &attempt, Reason reason, TimePoint now,
+                   DispatchActions &actions) -> void;
+
+// Frees the slot and the connection of an attempt that runs no more, and forgets the attempt.
+auto release(DispatchState &state, std::uint32_t index) -> void;
+
+// Puts an attempt into its leaf's queue.
+auto wait(DispatchState &state, std::uint32_t index, TimePoint now) -> void;
+
+// The deadline of a request at its target: never after the end of the lease.
+auto targetDeadline(const DispatchState &state, const LeafRequest &request) -> TimePoint;
+
+// Why a request can't be served in time by this leaf; Reason::None if it can. Ahead is the number
+// of waiting requests that are sent before it.
+auto refusalByTime(const DispatchState &state, LeafState &leaf, const LeafRequest &request,
+                   std::size_t ahead, TimePoint now) -> Reason;
+
+// Sends waiting requests as long as the limits allow it.
+auto sendWaiting(DispatchState &state, std::uint32_t leafIndex, TimePoint now,
+                 DispatchActions &actions) -> void;
+
+// Sends a probe, unless the leaf has no connection for it or one is outstanding.
+auto sendProbe(DispatchState &state, LeafState &leaf, bool silentCheck, TimePoint now,
+               DispatchActions &actions) -> void;
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/targets.cpp
@@ -0,0 +1,198 @@
+#include "targets.h"
+
+#include <algorithm>
+
+namespace crocusreach {
+
+auto rampLimits(const LeafState &leaf) -> RampLimits
+{
+    return {leaf.size.slots, std::min(leaf.size.coldSlots, leaf.size.slots)};
+}
+
+auto holdsShare(const LeafState &leaf) -> bool
+{
+    return std::ranges::find(leaf.held, true) != leaf.held.end();
+}
+
+auto mayProbe(const LeafState &leaf) -> bool
+{
+    return leaf.size.connections > leaf.size.slots;
+}
+
+auto usableConnections(const ShareSize &size) -> std::size_t
+{
+    // Twice the slots leave room for fresh connections without closing verified ones. A request
+    // marked non-idempotent needs a fresh one.
+    const auto keptForProbes = size.connections > size.slots ? 1U : 0U;
+    return std::min<std::size_t>(size.connections - keptForProbes, std::size_t(size.slots) * 2);
+}
+
+auto refusal(const LeafState &leaf) -> Reason
+{
+    if (leaf.out != Reason::None)
+        return leaf.out;
+    return leaf.draining || leaf.listedLeaving ? Reason::TargetLeaving : Reason::None;
+}
+
+auto isVerified(const LeafState &leaf, const Connection &connection) -> bool
+{
+    return connection.open && leaf.cold.confirmed && connection.start == leaf.cold.start
+           && number(connection.start) != 0;
+}
+
+auto runningOnCurrent(const LeafState &leaf) -> std::uint32_t
+{
+    auto count = std::uint32_t(0);
+    for (const auto &connection : leaf.connections) {
+        if (connection.busy && (connection.unverified || connection.sentStart == leaf.cold.start))
+            ++count;
+    }
+    return count;
+}
+
+auto countUsage(const LeafState &leaf) -> Usage
+{
+    auto usage = Usage();
+    for (const auto &connection : leaf.connections) {
+        if (connection.busy)
+            ++usage.running;
+        if (connection.busy && connection.unverified)
+            ++usage.unverified;
+        if (connection.busy || connection.open)
+            ++usage.connections;
+    }
+    return usage;
+}
+
+auto exceedsLimits(const LeafState &leaf) -> bool
+{
+    const auto usage = countUsage(leaf);
+    return usage.running > leaf.size.slots || usage.unverified > leaf.size.coldSlots
+           || usage.connections > usableConnections(leaf.size);
+}
+
+auto chooseConnections(const LeafState &leaf) -> ConnectionChoice
+{
+    auto choice = ConnectionChoice();
+    const auto usable = std::min(leaf.connections.size(), usableConnections(leaf.size));
+    for (std::size_t index = 0; index < usable; ++index) {
+        const auto &connection = leaf.connections[index];
+        if (connection.busy)
+            continue;
+        if (!connection.open) {
+            if (!choice.closed)
+                choice.closed = index;
+        } else if (isVerified(leaf, connection)) {
+            if (!choice.verified)
+                choice.verified = index;
+        } else if (!choice.unverified) {
+            choice.unverified = index;
+        }
+    }
+    return choice;
+}
+
+auto occupyConnection(LeafState &leaf, std::size_t index, bool unverified) -> void
+{
+    auto &connection = leaf.connections[index];
+    connection.busy = true;
+    connection.unverified = unverified;
+    connection.sentStart = leaf.cold.start;
+    ++leaf.running;
+    if (unverified)
+        ++leaf.unverified;
+}
+
+auto freeConnection(LeafState &leaf, std::size_t index) -> void
+{
+    auto &connection = leaf.connections[index];
+    connection.busy = false;
+    --leaf.running;
+    if (connection.unverified)
+        --leaf.unverified;
+    connection.unverified = false;
+}
+
+auto closeIdleConnections(LeafState &leaf) -> void
+{
+    for (auto &connection : leaf.connections) {
+        if (!connection.busy)
+            connection = {};
+    }
+    while (leaf.connections.size() > usableConnections(leaf.size) && !leaf.connections.back().busy)
+        leaf.connections.pop_back();
+}
+
+auto startCold(LeafState &leaf, TimePoint now) -> void
+{
+    doubtIdentity(leaf.cold);
+    restartRamp(leaf.cold, rampLimits(leaf), now);
+}
+
+auto showTarget(LeafState &leaf, std::string_view startId, TargetState state, TimePoint now) -> bool
+{
+    switch (showIdentity(leaf.cold, startId)) {
+    case IdentityChange::Stale:
+        return false;
+    case IdentityChange::Restarted:
+        startCold(leaf, now);
+        leaf.cold.confirmed = true;
+        leaf.draining = false;
+        leaf.listedLeaving = false;
+        break;
+    case IdentityChange::First:
+        restartRamp(leaf.cold, rampLimits(leaf), now);
+        leaf.cold.confirmed = true;
+        break;
+    case IdentityChange::None:
+        break;
+    }
+    leaf.lastHeard = now;
+    if (state != TargetState::Unknown)
+        leaf.targetState = state;
+    if (state == TargetState::Draining)
+        leaf.draining = true;
+    return true;
+}
+
+auto confirmIdentity(LeafState &leaf, std::uint32_t doubts, TimePoint now) -> void
+{
+    if (leaf.cold.confirmed || leaf.cold.doubts != doubts)
+        return;
+    leaf.cold.confirmed = true;
+    restartRamp(leaf.cold, rampLimits(leaf), now);
+}
+
+auto showListing(LeafState &leaf, TargetListing listing) -> bool
+{
+    const auto before = leaf.listing;
+    if (listing == before)
+        return false;
+    leaf.listing = listing;
+    if (listing == TargetListing::Live) {
+        // A first listing brings no news of a target that said itself that it is leaving.
+        const auto returned = leaf.wasListed;
+        leaf.wasListed = true;
+        if (returned)
+            leaf.draining = false;
+        leaf.listedLeaving = false;
+        return returned;
+    }
+    // A target that the list never showed isn't gone when it is absent.
+    leaf.listedLeaving = listing == TargetListing::Leaving || leaf.wasListed;
+    leaf.wasListed = true;
+    return false;
+}
+
+auto silentAt(LeafState &leaf, const DispatchSettings &settings, TimePoint sentAt, TimePoint now)
+        -> std::optional<TimePoint>
+{
+    const auto &latency = summarize(leaf.latency, now);
+    if (!latency.known)
+        return std::nullopt;
+    const auto wait = Duration(static_cast<Duration::rep>(static_cast<double>(latency.p99.count())
+                                                          * settings.silentFactor));
+    return sentAt + std::max(wait, settings.silentFloor);
+}
+
+} // namespace crocusreach
