--- a/core/sending.cpp
+++ b/core/sending.cpp
@@ -114,11 +114,12 @@
     const auto forOthers = planNonIdempotent(state, leaf, choice);
     if (!forIdempotent && !forOthers)
         return std::nullopt;
-    for (auto entry = leaf.waiting.entries.rbegin(); entry != leaf.waiting.entries.rend();
-         ++entry) {
-        const auto &request = state.attempts.attempts[entry->attempt].request;
+    const auto &entries = leaf.waiting.entries;
+    for (auto position = entries.size(); position-- > 0;) {
+        const auto attempt = entries[position].attempt;
+        const auto &request = state.attempts.attempts[attempt].request;
         if (const auto &plan = request.idempotent ? forIdempotent : forOthers)
-            return Candidate{entry->attempt, *plan};
+            return Candidate{attempt, *plan};
     }
     return std::nullopt;
 }
