--- a/core/diagnosis.cpp
+++ b/core/diagnosis.cpp
@@ -112,9 +112,9 @@
 {
     auto evidence = Evidence{view, service, sumOf(accounts, service.id), {}};
     for (const auto &leaf : service.leafs) {
-        auto sums = sumOf(accounts, leaf.id);
+        const auto sums = sumOf(accounts, leaf.id);
         if (sums.attempts > 0)
-            evidence.leafs.push_back({&leaf, std::move(sums)});
+            evidence.leafs.push_back({&leaf, sums});
     }
     return evidence;
 }
