--- /dev/null
+++ b/runtime/targettask.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "core/dispatch.h"
+#include "gobject.h"
+#include "mailbox.h"
+
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+// The task that owns the connections to targets and speaks their HTTP protocol.
+
+namespace crocusreach {
+
+using TargetMessage = std::variant<TargetSend, TargetProbe, TargetCancel, TargetClose>;
+
+// Receives a TargetReply for each TargetSend and a ProbeReply for each TargetProbe. Called in the
+// task's thread; it posts to the dispatch task.
+using TargetOutlet = std::function<auto(DispatchEvent &&)->void>;
+
+// Each connection is a session of libsoup limited to one connection, since a session chooses among
+// its connections by itself. No request is sent twice: libsoup resends a request when a reused
+// connection closes before the reply, which is cancelled here.
+class TargetTask
+{
+public:
+    explicit TargetTask(TargetOutlet outlet);
+    TargetTask(const TargetTask &) = delete;
+    auto operator=(const TargetTask &) -> TargetTask & = delete;
+    ~TargetTask() { this->stop(); }
+
+    auto post(TargetMessage message) -> void { this->mailbox.post(std::move(message)); }
+    // Closes all connections and ends the thread. Requests still running get no reply.
+    auto stop() -> void;
+
+private:
+    struct Connection
+    {
+        ObjectPtr<SoupSession> session;
+        bool busy = false;
+        bool dropWhenIdle = false;
+    };
+
+    // One request from its send to its only reply.
+    struct Exchange
+    {
+        TargetTask *task = nullptr;
+        TargetSend request;
+        ObjectPtr<SoupSession> session;
+        ObjectPtr<SoupMessage> message;
+        ObjectPtr<GCancellable> cancellable;
+        TimePoint startedAt = {};
+        TimePoint connectStartedAt = {};
+        Duration connecting = {};
+        bool sent = false; // at least a part of it may have reached the target
+        bool connected = false;
+        bool connectionRefused = false; // libsoup was to open a connection that isn't allowed
+        bool resendRefused = false;
+        bool cancelled = false;
+        bool closeConnection = false;
+    };
+
+    struct Probe
+    {
+        TargetTask *task = nullptr;
+        LeafId leaf = {};
+        ObjectPtr<SoupSession> session;
+        ObjectPtr<SoupMessage> message;
+    };
+
+    using ConnectionKey = std::pair<LeafId, ConnectionIndex>;
+
+    auto handle(TargetSend &&request) -> void;
+    auto handle(TargetProbe &&request) -> void;
+    auto handle(TargetCancel &&request) -> void;
+    auto handle(TargetClose &&request) -> void;
+    auto complete(Exchange &exchange, GBytes *body, const GError *error) -> void;
+    auto release(const Exchange &exchange, bool connectionOpen) -> void;
+
+    static auto watch(Exchange &exchange) -> void;
+    static auto onNetworkEvent(SoupMessage *message, GSocketClientEvent event, GIOStream *stream,
+                               gpointer data) -> void;
+    static auto onStarting(SoupMessage *message, gpointer data) -> void;
+    static auto onRestarted(SoupMessage *message, gpointer data) -> void;
+    static auto onEnded(GObject *session, GAsyncResult *result, gpointer data) -> void;
+    static auto onProbeEnded(GObject *session, GAsyncResult *result, gpointer data) -> void;
+
+    TargetOutlet outlet;
+    MainThread thread;
+    Mailbox<TargetMessage> mailbox;
+    std::map<ConnectionKey, Connection> connections;
+    std::unordered_map<LeafId, ObjectPtr<SoupSession>> probeSessions;
+    std::unordered_map<SendId, std::unique_ptr<Exchange>> exchanges;
+    std::size_t probesRunning = 0;
+    bool stopping = false;
+};
+
+} // namespace crocusreach
