--- /dev/null
+++ b/runtime/instance.cpp
@@ -0,0 +1,319 @@
+#include "instance.h"
+
+#include "clock.h"
+#include "log.h"
+
+#include "formats/configurationjson.h"
+
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace crocusreach {
+
+namespace {
+
+// One thread of libsoup carries about 6,500 leaf requests a second.
+constexpr std::size_t targetThreads = 2;
+constexpr auto metricsInterval = Duration(std::chrono::seconds(1));
+constexpr auto stopCheckInterval = Duration(std::chrono::milliseconds(50));
+// Heartbeats that tell the other members which shares are free before the instance ends.
+constexpr auto lastHeartbeats = 2;
+
+auto readFile(const std::string &path) -> Result<std::string>
+{
+    auto file = std::ifstream(path, std::ios::binary);
+    auto text = std::ostringstream();
+    text << file.rdbuf();
+    if (!file)
+        return Error{Step::Settings, path, "the file can't be read"};
+    return text.str();
+}
+
+auto embeddedObjects(const Settings &settings) -> Result<EmbeddedObjects>
+{
+    if (!settings.storeAddress.empty() || settings.embeddedConfiguration.empty())
+        return EmbeddedObjects();
+    auto text = readFile(settings.embeddedConfiguration);
+    if (failed(text))
+        return std::get<Error>(std::move(text));
+    const auto parsed = parseConfiguration(std::get<std::string>(text),
+                                           settings.embeddedConfiguration);
+    if (failed(parsed))
+        return std::get<Error>(parsed);
+    return EmbeddedObjects{{std::string(configurationKey), std::get<std::string>(std::move(text))}};
+}
+
+auto controlSettings(const Settings &settings, const std::string &peerAddress) -> ControlSettings
+{
+    auto control = settings.control;
+    control.self.id = instanceId(settings.instance);
+    // A later start has a later wall time.
+    control.self.incarnation
+            = Incarnation(static_cast<std::uint64_t>(wallNow().time_since_epoch().count()));
+    control.self.name = settings.instance;
+    control.self.address = peerAddress;
+    control.self.domain = domainId(settings.failureDomain);
+    control.cell = settings.cell;
+    control.seeds = settings.seeds;
+    return control;
+}
+
+auto seed() -> std::uint64_t
+{
+    auto device = std::random_device();
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+} // namespace
+
+Instance::Instance(const Settings &settings, EmbeddedObjects objects)
+    : settings(settings)
+    , self(instanceId(settings.instance))
+{
+    this->mailbox.attach(g_main_context_get_thread_default(), [this](InstanceMessage &&message) {
+        std::visit([this](const auto &content) { this->handle(content); }, message);
+    });
+    this->metricsTimer = std::make_unique<WakeTimer>(g_main_context_get_thread_default(),
+                                                     [this] { this->collectMetrics(); });
+    this->stopTimer = std::make_unique<WakeTimer>(g_main_context_get_thread_default(),
+                                                  [this] { this->continueStop(); });
+
+    this->store = std::make_unique<StoreTask>(
+            StoreAddresses{settings.storeAddress, settings.instanceListAddress},
+            std::move(objects));
+    for (std::size_t index = 0; index < targetThreads; ++index)
+        this->targets.push_back(std::make_unique<TargetTask>(
+                [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); }));
+    this->front = std::make_unique<FrontTask>(
+            FrontOutlets{[this](QueryEvent &&event) { this->query->post(std::move(event)); }});
+    this->peer = std::make_unique<PeerTask>(PeerOutlets{
+            this->self, [this](QueryEvent &&event) { this->query->post(std::move(event)); },
+            [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); },
+            [this](ControlEvent &&event) { this->control->post(std::move(event)); }});
+
+    auto queryOutlets = QueryOutlets();
+    queryOutlets.self = this->self;
+    queryOutlets.dispatch = [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); };
+    queryOutlets.peerRequest = [this](SendLeafRequest &&send) { this->peer->post(std::move(send)); };
+    queryOutlets.peerCancel = [this](SendCancel &&send) { this->peer->post(std::move(send)); };
+    queryOutlets.store = [this](ObjectCall &&call) { this->store->post(std::move(call)); };
+    queryOutlets.front = [this](QueryAnswered &&answer) {
+        recordAnswer(this->measured, answer);
+        this->front->post(std::move(answer));
+    };
+    queryOutlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
+    this->query = std::make_unique<QueryTask>("query", makeQueryState(settings.query, seed()),
+                                              performQueryActions(std::move(queryOutlets)));
+
+    auto dispatchOutlets = DispatchOutlets();
+    dispatchOutlets.self = this->self;
+    dispatchOutlets.target = [this](TargetMessage &&message) {
+        this->sendToTarget(std::move(message));
+    };
+    dispatchOutlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
+    dispatchOutlets.peer = [this](LeafReplyTo &&reply) { this->peer->post(std::move(reply)); };
+    dispatchOutlets.control = [this](ControlEvent &&event) {
+        this->control->post(std::move(event));
+    };
+    this->dispatch = std::make_unique<DispatchTask>(
+            "dispatch", makeDispatchState(settings.dispatch),
+            performDispatchActions(std::move(dispatchOutlets)));
+}
+
+Instance::~Instance()
+{
+    // A task that posts ends before the ones that it posts to are destroyed.
+    this->front->stop();
+    this->peer->stop();
+    for (auto &target : this->targets)
+        target->stop();
+    this->store->stop();
+    if (this->control != nullptr)
+        this->control->stop();
+    this->query->stop();
+    this->dispatch->stop();
+    this->mailbox.detach();
+}
+
+auto Instance::start(const Settings &settings) -> Result<std::unique_ptr<Instance>>
+{
+    auto objects = embeddedObjects(settings);
+    if (failed(objects))
+        return std::get<Error>(std::move(objects));
+    auto instance = std::unique_ptr<Instance>(
+            new Instance(settings, std::get<EmbeddedObjects>(std::move(objects))));
+    auto addresses = instance->openListeners();
+    if (failed(addresses))
+        return std::get<Error>(std::move(addresses));
+    instance->listeners = std::get<InstanceAddresses>(std::move(addresses));
+    instance->startCores();
+    logEvent(LogEvent::InstanceStarted,
+             {{"instance", settings.instance}, {"domain", settings.failureDomain}});
+    return instance;
+}
+
+auto Instance::openListeners() -> Result<InstanceAddresses>
+{
+    auto addresses = InstanceAddresses();
+    auto peerAddress = this->peer->listen(this->settings.peerAddress);
+    if (failed(peerAddress))
+        return std::get<Error>(std::move(peerAddress));
+    addresses.peer = std::get<std::string>(std::move(peerAddress));
+    auto callerAddress = this->front->listen(this->settings.callerAddress);
+    if (failed(callerAddress))
+        return std::get<Error>(std::move(callerAddress));
+    addresses.caller = std::get<std::string>(std::move(callerAddress));
+    logEvent(LogEvent::ListenerOpened, {{"listener", "peer"}, {"address", addresses.peer}});
+    logEvent(LogEvent::ListenerOpened, {{"listener", "caller"}, {"address", addresses.caller}});
+    return addresses;
+}
+
+// The control core comes last, since it needs the real address of the peer listener and its first
+// action posts to the other tasks.
+auto Instance::startCores() -> void
+{
+    auto outlets = ControlOutlets();
+    outlets.cell = this->settings.cell;
+    outlets.store = [this](StoreMessage &&message) { this->store->post(std::move(message)); };
+    outlets.peer = [this](ControlToPeer &&message) { this->peer->post(std::move(message)); };
+    outlets.publish = [this](const ClusterViewPtr &published) { this->publish(published); };
+    outlets.control = [this](ControlEvent &&event) { this->control->post(std::move(event)); };
+    this->control = std::make_unique<ControlTask>(
+            "control",
+            makeControlState(controlSettings(this->settings, this->listeners.peer)),
+            performControlActions(std::move(outlets)));
+    this->query->start();
+    this->dispatch->start();
+    this->control->start();
+    this->metricsTimer->setDelay(metricsInterval.count());
+}
+
+auto Instance::publish(const ClusterViewPtr &published) -> void
+{
+    this->query->post(ViewChanged{published});
+    this->dispatch->post(ViewChanged{published});
+    this->peer->post(ViewChanged{published});
+    this->mailbox.post(ViewChanged{published});
+}
+
+auto Instance::sendToTarget(TargetMessage &&message) -> void
+{
+    const auto taskOf = [this](LeafId leaf) -> TargetTask & {
+        return *this->targets[number(leaf) % this->targets.size()];
+    };
+    const auto handlers = Overloaded{
+            [&](TargetSend &&send) {
+                auto &task = taskOf(send.leaf);
+                task.post(std::move(send));
+            },
+            [&](TargetProbe &&probe) {
+                auto &task = taskOf(probe.leaf);
+                task.post(std::move(probe));
+            },
+            // A cancel doesn't name the leaf; the tasks that don't know the request ignore it.
+            [&](TargetCancel &&cancel) {
+                for (auto &task : this->targets)
+                    task->post(cancel);
+            },
+            [&](TargetClose &&close) { taskOf(close.leaf).post(close); }};
+    std::visit(handlers, std::move(message));
+}
+
+auto Instance::handle(const ViewChanged &change) -> void
+{
+    this->logChanges(*change.view);
+    this->view = change.view;
+    recordView(this->measured, *this->view);
+    this->updateServing();
+}
+
+auto Instance::logChanges(const ClusterView &newer) const -> void
+{
+    const auto *former = this->view.get();
+    const auto revision = number(newer.configuration->revision);
+    if (former == nullptr || number(former->configuration->revision) != revision)
+        logEvent(LogEvent::ConfigurationInForce, {{"revision", std::to_string(revision)}});
+    const auto epoch = number(newer.assignment->epoch);
+    if (former == nullptr || number(former->assignment->epoch) != epoch)
+        logEvent(LogEvent::AssignmentInForce, {{"epoch", std::to_string(epoch)}});
+    if (former == nullptr || former->held.size() != newer.held.size())
+        logEvent(LogEvent::SharesChanged, {{"held", std::to_string(newer.held.size())}});
+    if (former != nullptr && former->storeReachable && !newer.storeReachable)
+        logEvent(LogEvent::StoreUnreachable);
+    if (former != nullptr && !former->storeReachable && newer.storeReachable)
+        logEvent(LogEvent::StoreReachable);
+}
+
+auto Instance::updateServing() -> void
+{
+    const auto stopping = this->stop.began != TimePoint();
+    const auto configured = this->view != nullptr && number(this->view->configuration->revision) != 0;
+    this->front->post(Serving{configured && !stopping && !isSelfOut(*this->view),
+                              !this->stop.refusing});
+}
+
+auto Instance::collectMetrics() -> void
+{
+    this->query->post(QueryTask::Inspect{[this](const QueryState &state) {
+        recordQueries(this->measured, counters(state), queriesInFlight(state));
+        recordViolations(this->measured);
+    }});
+    if (this->view != nullptr)
+        this->dispatch->post(DispatchTask::Inspect{
+                [this, index = this->view->leafIndex,
+                 configuration = this->view->configuration](const DispatchState &state) {
+                    recordLeafs(this->measured, leafStatus(state), *index);
+                }});
+    this->metricsTimer->setDelay(metricsInterval.count());
+}
+
+auto Instance::beginStop(std::function<auto(StopResult)->void> onStopped) -> void
+{
+    logEvent(LogEvent::StopRequested);
+    this->stop.onStopped = std::move(onStopped);
+    this->stop.began = decisionNow();
+    this->control->post(StopRequested());
+    this->updateServing();
+    this->stopTimer->setDelay(stopCheckInterval.count());
+}
+
+auto Instance::continueStop() -> void
+{
+    const auto now = decisionNow();
+    if (now - this->stop.began >= this->settings.stopDeadline)
+        return this->endStop(StopResult::DeadlinePassed);
+    if (!this->stop.refusing && now - this->stop.began >= this->settings.balancerGrace) {
+        logEvent(LogEvent::QueriesRefused);
+        this->stop.refusing = true;
+        this->updateServing();
+    }
+    const auto quiet = this->stop.refusing && this->stop.queries == 0 && this->stop.requests == 0
+            && (this->view == nullptr || this->view->held.empty());
+    if (!quiet)
+        this->stop.quietSince.reset();
+    else if (!this->stop.quietSince)
+        this->stop.quietSince = now;
+    else if (now - *this->stop.quietSince
+             >= lastHeartbeats * this->settings.control.heartbeatInterval)
+        return this->endStop(StopResult::Completed);
+
+    this->query->post(QueryTask::Inspect{[this](const QueryState &state) {
+        this->mailbox.post(QueriesRunning{queriesInFlight(state)});
+    }});
+    this->dispatch->post(DispatchTask::Inspect{[this](const DispatchState &state) {
+        this->mailbox.post(RequestsRunning{requestsInFlight(state)});
+    }});
+    this->stopTimer->setDelay(stopCheckInterval.count());
+}
+
+auto Instance::endStop(StopResult result) -> void
+{
+    const auto completed = result == StopResult::Completed;
+    logEvent(completed ? LogEvent::StopCompleted : LogEvent::StopDeadlinePassed,
+             {{"queries", std::to_string(this->stop.queries)},
+              {"requests", std::to_string(this->stop.requests)}});
+    this->stop.onStopped(result);
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/log.cpp
@@ -0,0 +1,193 @@
+#include "log.h"
+
+#include "clock.h"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <ctime>
+#include <iostream>
+
+namespace crocusreach {
+
+namespace {
+
+namespace sinks = boost::log::sinks;
+
+constexpr std::size_t queuedLines = 4096;
+using Sink = sinks::asynchronous_sink<
+        sinks::text_ostream_backend,
+        sinks::bounded_fifo_queue<queuedLines, sinks::drop_on_overflow>>;
+
+constexpr auto events = std::to_array<LogEventInfo>({
+        {LogEvent::InstanceStarted, "instance_started", Severity::Info, "the instance runs"},
+        {LogEvent::ListenerOpened, "listener_opened", Severity::Info, "a listener accepts connections"},
+        {LogEvent::StopRequested, "stop_requested", Severity::Info,
+         "the instance reports itself leaving and begins to stop"},
+        {LogEvent::QueriesRefused, "queries_refused", Severity::Info,
+         "the balancer's grace time is over; new queries are refused as not run"},
+        {LogEvent::StopCompleted, "stop_completed", Severity::Info, "all work has ended"},
+        {LogEvent::StopDeadlinePassed, "stop_deadline_passed", Severity::Error,
+         "the instance ends before all work has ended"},
+        {LogEvent::StartFailed, "start_failed", Severity::Error, "the instance could not start"},
+        {LogEvent::ConfigurationInForce, "configuration_in_force", Severity::Info,
+         "a newer configuration is in force"},
+        {LogEvent::AssignmentInForce, "assignment_in_force", Severity::Info,
+         "a newer assignment is in force"},
+        {LogEvent::SharesChanged, "shares_changed", Severity::Info,
+         "the number of shares held has changed"},
+        {LogEvent::StoreUnreachable, "store_unreachable", Severity::Warning,
+         "the platform's store doesn't answer"},
+        {LogEvent::StoreReachable, "store_reachable", Severity::Info,
+         "the platform's store answers again"},
+        {LogEvent::LeaseWithoutEvidence, "lease_without_evidence", Severity::Warning,
+         "the share lease has ended; no share is used until it is renewed"},
+        {LogEvent::PeerLinkOpened, "peer_link_opened", Severity::Info,
+         "the stream to a peer is open"},
+        {LogEvent::PeerLinkLost, "peer_link_lost", Severity::Warning,
+         "the stream to a peer has ended"},
+        {LogEvent::PeerLinkSilent, "peer_link_silent", Severity::Warning,
+         "heartbeats on a stream went unanswered; it is closed and opened again"},
+        {LogEvent::PeerMessageInvalid, "peer_message_invalid", Severity::Error,
+         "a message of a peer can't be read and was dropped"},
+        {LogEvent::InvariantViolated, "invariant_violated", Severity::Error,
+         "a guaranteed property was violated"},
+});
+
+auto infoOf(LogEvent event) -> const LogEventInfo &
+{
+    const auto *const found = std::find_if(
+            events.begin(), events.end(),
+            [&](const LogEventInfo &info) { return info.event == event; });
+    return found == events.end() ? events.back() : *found;
+}
+
+auto isPlain(char character) -> bool
+{
+    const auto letter = (character >= 'a' && character <= 'z')
+            || (character >= 'A' && character <= 'Z') || (character >= '0' && character <= '9');
+    return letter || std::string_view("-_.:/,+").find(character) != std::string_view::npos;
+}
+
+auto appendEscaped(std::string &line, char character) -> void
+{
+    static constexpr auto digits = std::string_view("0123456789abcdef");
+    const auto code = static_cast<unsigned char>(character);
+    if (character == '"' || character == '\\') {
+        line += '\\';
+        line += character;
+    } else if (code < 0x20 || code == 0x7f) {
+        line += "\\x";
+        line += digits[code >> 4U];
+        line += digits[code & 15U];
+    } else {
+        line += character;
+    }
+}
+
+auto appendValue(std::string &line, std::string_view value) -> void
+{
+    if (!value.empty() && std::all_of(value.begin(), value.end(), isPlain)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const auto character : value)
+        appendEscaped(line, character);
+    line += '"';
+}
+
+auto timeText() -> std::string
+{
+    const auto now = wallNow().time_since_epoch().count();
+    const auto seconds = static_cast<std::time_t>(now / 1000);
+    auto parts = std::tm();
+    gmtime_r(&seconds, &parts);
+    auto text = std::array<char, 32>();
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    const auto fraction = std::to_string(1000 + now % 1000);
+    return std::string(text.data()) + "." + fraction.substr(1) + "Z";
+}
+
+std::atomic<Severity> leastSeverity = Severity::Info;
+boost::shared_ptr<Sink> activeSink;
+
+} // namespace
+
+auto logEvents() -> std::span<const LogEventInfo>
+{
+    return events;
+}
+
+auto toString(Severity severity) -> std::string_view
+{
+    static constexpr auto names
+            = std::to_array<std::string_view>({"debug", "info", "warning", "error"});
+    return names.at(static_cast<std::size_t>(severity));
+}
+
+auto severityFromString(std::string_view name) -> Severity
+{
+    for (const auto severity :
+         {Severity::Debug, Severity::Info, Severity::Warning, Severity::Error}) {
+        if (toString(severity) == name)
+            return severity;
+    }
+    return Severity::Info;
+}
+
+auto formatLogLine(LogEvent event, std::span<const LogField> fields) -> std::string
+{
+    const auto &info = infoOf(event);
+    auto line = "event=" + std::to_string(static_cast<unsigned>(event));
+    line.append(" name=").append(info.name);
+    line.append(" severity=").append(toString(info.severity));
+    line.append(" text=");
+    appendValue(line, info.text);
+    for (const auto &field : fields) {
+        line.append(" ").append(field.key).append("=");
+        appendValue(line, field.value);
+    }
+    return line;
+}
+
+auto startLog(Severity least) -> void
+{
+    leastSeverity = least;
+    auto backend = boost::make_shared<sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->auto_flush(true);
+    activeSink = boost::make_shared<Sink>(backend);
+    boost::log::core::get()->add_sink(activeSink);
+}
+
+auto stopLog() -> void
+{
+    if (activeSink == nullptr)
+        return;
+    boost::log::core::get()->remove_sink(activeSink);
+    activeSink->stop();
+    activeSink->flush();
+    activeSink.reset();
+}
+
+auto logEvent(LogEvent event, std::initializer_list<LogField> fields) -> void
+{
+    if (activeSink == nullptr || infoOf(event).severity < leastSeverity.load())
+        return;
+    auto logger = boost::log::sources::logger();
+    BOOST_LOG(logger) << "time=" << timeText() << ' '
+                      << formatLogLine(event, {fields.begin(), fields.size()});
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/log.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+// Numbered log events, one line each as key=value. docs/log-events.md is their catalogue.
+
+namespace crocusreach {
+
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+
+// The numbers are part of the interface to operators: they are never reused.
+enum class LogEvent : std::uint16_t {
+    InstanceStarted = 100,
+    ListenerOpened = 101,
+    StopRequested = 102,
+    QueriesRefused = 103,
+    StopCompleted = 104,
+    StopDeadlinePassed = 105,
+    StartFailed = 106,
+    ConfigurationInForce = 200,
+    AssignmentInForce = 201,
+    SharesChanged = 202,
+    StoreUnreachable = 203,
+    StoreReachable = 204,
+    LeaseWithoutEvidence = 205,
+    PeerLinkOpened = 300,
+    PeerLinkLost = 301,
+    PeerLinkSilent = 302,
+    PeerMessageInvalid = 303,
+    InvariantViolated = 900,
+};
+
+struct LogEventInfo
+{
+    LogEvent event = {};
+    std::string_view name;
+    Severity severity = Severity::Info;
+    std::string_view text;
+};
+
+// All events in the order of their numbers.
+auto logEvents() -> std::span<const LogEventInfo>;
+
+auto toString(Severity severity) -> std::string_view;
+// The severity of a name as in the settings; Info if there is none of that name.
+auto severityFromString(std::string_view name) -> Severity;
+
+struct LogField
+{
+    std::string_view key;
+    std::string value;
+};
+
+// "event=100 name=instance_started severity=info text="..." key=value ...". Values with characters
+// other than letters, digits and "-_.:/,+" are quoted; control characters are escaped.
+auto formatLogLine(LogEvent event, std::span<const LogField> fields) -> std::string;
+
+// Starts a thread that writes lines to standard error. A full queue drops lines instead of holding
+// up the tasks. To be called once.
+auto startLog(Severity least) -> void;
+// Writes what is queued and ends the thread.
+auto stopLog() -> void;
+
+auto logEvent(LogEvent event, std::initializer_list<LogField> fields = {}) -> void;
+
+} // namespace crocusreach
