--- a/core/assignment.cpp
+++ b/core/assignment.cpp
@@ -1,9 +1,223 @@
 #include "assignment.h"
 
 #include <algorithm>
+#include <array>
+#include <set>
+#include <unordered_map>
+#include <utility>
 
 namespace crocusreach {
 
+namespace {
+
+// A candidate for shares.
+struct Candidate
+{
+    const Member *member = nullptr;
+    // It holds nothing yet: a new member, or one that operators have put back in play. Only such
+    // candidates draw shares away from present holders.
+    bool isNew = false;
+};
+
+struct Placement
+{
+    std::vector<Candidate> candidates;
+    bool severalDomains = false;
+};
+
+auto sameMember(const Member &left, const Member &right) -> bool
+{
+    return left.id == right.id && left.incarnation == right.incarnation;
+}
+
+auto isOut(const Member &member, const Configuration &configuration) -> bool
+{
+    const auto *instance = findInstance(configuration, member.id);
+    if (instance != nullptr && instance->decision.state == DesiredState::Out)
+        return true;
+    const auto *domain = findDomain(configuration, member.domain);
+    return domain != nullptr && domain->decision.state == DesiredState::Out;
+}
+
+auto makePlacement(const Assignment &former, std::span<const Member> members,
+                   const Configuration &configuration) -> Placement
+{
+    auto placement = Placement();
+    for (const auto &member : members) {
+        if (isOut(member, configuration))
+            continue;
+        const auto holds = std::ranges::any_of(former.shares, [&](const Share &share) {
+            return share.holder == member.id && share.holderIncarnation == member.incarnation;
+        });
+        placement.candidates.push_back({&member, !holds});
+    }
+    // With everybody out, the shares stay where they can be held.
+    if (placement.candidates.empty()) {
+        for (const auto &member : members)
+            placement.candidates.push_back({&member, false});
+    }
+    placement.severalDomains
+            = std::ranges::any_of(placement.candidates, [&](const Candidate &candidate) {
+                  return candidate.member->domain != placement.candidates.front().member->domain;
+              });
+    return placement;
+}
+
+auto findCandidate(const Placement &placement, const Share &share) -> const Candidate *
+{
+    const auto found = std::ranges::find_if(placement.candidates, [&](const Candidate &candidate) {
+        return candidate.member->id == share.holder
+               && candidate.member->incarnation == share.holderIncarnation;
+    });
+    return found == placement.candidates.end() ? nullptr : &*found;
+}
+
+auto weight(LeafId leaf, const Member &member) -> std::uint64_t
+{
+    return hashPair(number(leaf), number(member.id));
+}
+
+// How well a candidate goes with the holder of the leaf's other share: 2 in another failure domain,
+// 1 as another member, 0 as the same one.
+auto separation(const Candidate &candidate, const Candidate *other) -> int
+{
+    if (other == nullptr || candidate.member->domain != other->member->domain)
+        return 2;
+    return candidate.member->id != other->member->id ? 1 : 0;
+}
+
+// The best candidate by separation, then by weight. A present holder yields only to new candidates.
+auto choose(const Placement &placement, LeafId leaf, const Candidate *kept, const Candidate *other)
+        -> const Candidate *
+{
+    const Candidate *best = kept;
+    auto bestRank = std::pair(-1, std::uint64_t{0});
+    if (kept != nullptr)
+        bestRank = {separation(*kept, other), weight(leaf, *kept->member)};
+    for (const auto &candidate : placement.candidates) {
+        if (kept != nullptr && !candidate.isNew)
+            continue;
+        const auto rank = std::pair(separation(candidate, other), weight(leaf, *candidate.member));
+        if (rank > bestRank) {
+            best = &candidate;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+using Holders = std::array<const Candidate *, maxSharesPerLeaf>;
+
+auto chooseHolders(const Placement &placement, const Leaf &leaf, std::span<const Share> former,
+                   std::size_t count) -> Holders
+{
+    auto holders = Holders();
+    for (const auto &share : former) {
+        if (share.ordinal < count)
+            holders[share.ordinal] = findCandidate(placement, share);
+    }
+    if (count == 1) {
+        holders[0] = choose(placement, leaf.id, holders[0], nullptr);
+        return holders;
+    }
+    const auto together = holders[0] != nullptr && holders[1] != nullptr
+                          && separation(*holders[1], holders[0]) < 2;
+    if (together && (placement.severalDomains || holders[0] == holders[1]))
+        holders[1] = nullptr;
+    holders[0] = choose(placement, leaf.id, holders[0], holders[1]);
+    holders[1] = choose(placement, leaf.id, holders[1], holders[0]);
+    return holders;
+}
+
+auto sameSizes(std::span<const Share> former, std::span<const ShareSize> sizes) -> bool
+{
+    return std::ranges::equal(former, sizes, {}, &Share::size);
+}
+
+auto holdsShare(const Share &share, const Member &member) -> bool
+{
+    return share.holder == member.id && share.holderIncarnation == member.incarnation;
+}
+
+auto setFormer(Share &share, const Share &former) -> void
+{
+    share.formerHolder = former.holder;
+    share.formerIncarnation = former.holderIncarnation;
+}
+
+// Names whose release allows a share of a resized leaf to be used: every former holder of the leaf
+// but the new one. With two of them no release is enough, and the new holder waits.
+auto setFormerOfResized(Share &share, std::span<const Share> former) -> void
+{
+    const auto isOther = [&](const Share &old) {
+        return old.holder != share.holder || old.holderIncarnation != share.holderIncarnation;
+    };
+    const auto others = std::ranges::count_if(former, isOther);
+    if (others == 1)
+        setFormer(share, *std::ranges::find_if(former, isOther));
+    else if (others == 0 && !former.empty())
+        setFormer(share, former.front());
+}
+
+auto placeLeaf(const Placement &placement, const Assignment &former, const Leaf &leaf,
+               Assignment &next) -> void
+{
+    const auto sizes = splitLeaf(leaf);
+    const auto old = sharesOf(former, leaf.id);
+    const auto holders = chooseHolders(placement, leaf, old, sizes.size());
+    const auto resized = !sameSizes(old, sizes);
+    for (std::size_t ordinal = 0; ordinal < sizes.size(); ++ordinal) {
+        const auto &holder = *holders[ordinal]->member;
+        if (!resized && holdsShare(old[ordinal], holder)) {
+            next.shares.push_back(old[ordinal]);
+            continue;
+        }
+        auto share = Share{leaf.id,
+                           static_cast<std::uint8_t>(ordinal),
+                           sizes[ordinal],
+                           holder.id,
+                           holder.incarnation,
+                           next.epoch};
+        if (resized)
+            setFormerOfResized(share, old);
+        else
+            setFormer(share, old[ordinal]);
+        next.shares.push_back(share);
+    }
+}
+
+auto controlError(std::string peer, std::string text) -> Error
+{
+    return {Step::Control, std::move(peer), std::move(text)};
+}
+
+struct LeafSum
+{
+    std::uint32_t slots = 0;
+    std::uint32_t coldSlots = 0;
+    std::uint32_t connections = 0;
+};
+
+auto add(LeafSum &sum, const ShareSize &size) -> void
+{
+    sum.slots += size.slots;
+    sum.coldSlots += size.coldSlots;
+    sum.connections += size.connections;
+}
+
+auto fits(const LeafSum &sum, const Leaf &leaf) -> bool
+{
+    return sum.slots <= leaf.slots && sum.coldSlots <= leaf.coldSlots
+           && sum.connections <= leaf.connections;
+}
+
+auto shareName(const Share &share) -> std::string
+{
+    return "share " + std::to_string(number(share.leaf)) + "/" + std::to_string(share.ordinal);
+}
+
+} // namespace
+
 auto splitLeaf(const Leaf &leaf) -> std::vector<ShareSize>
 {
     if (leaf.slots < 2 || leaf.coldSlots < 2)
@@ -16,6 +230,78 @@
             {smallerHalf(leaf.slots), smallerHalf(leaf.coldSlots), smallerHalf(leaf.connections)}};
 }
 
+auto place(const Assignment &former, std::span<const Member> members,
+           const Configuration &configuration) -> Assignment
+{
+    auto next = Assignment();
+    next.cell = former.cell;
+    next.epoch = Epoch{number(former.epoch) + 1};
+    next.members.assign(members.begin(), members.end());
+    std::ranges::sort(next.members, {}, &Member::id);
+    const auto stays = [&](const Member &member) {
+        return std::ranges::any_of(members,
+                                   [&](const Member &other) { return sameMember(member, other); });
+    };
+    for (const auto *list : {&former.retired, &former.members}) {
+        for (const auto &member : *list) {
+            if (!stays(member))
+                next.retired.push_back(member);
+        }
+    }
+    const auto placement = makePlacement(former, next.members, configuration);
+    if (placement.candidates.empty())
+        return next;
+    for (const auto &service : configuration.services) {
+        if (service.cell != next.cell)
+            continue;
+        for (const auto &leaf : service.leafs)
+            placeLeaf(placement, former, leaf, next);
+    }
+    std::ranges::sort(next.shares, {},
+                      [](const Share &share) { return std::pair(share.leaf, share.ordinal); });
+    return next;
+}
+
+auto validate(const Assignment &assignment, const Configuration &configuration)
+        -> std::vector<Error>
+{
+    auto errors = std::vector<Error>();
+    auto leafs = std::unordered_map<LeafId, const Leaf *>();
+    for (const auto &service : configuration.services) {
+        for (const auto &leaf : service.leafs) {
+            if (service.cell == assignment.cell)
+                leafs.emplace(leaf.id, &leaf);
+        }
+    }
+    auto sums = std::unordered_map<LeafId, LeafSum>();
+    auto seen = std::set<std::pair<LeafId, std::uint8_t>>();
+    for (const auto &share : assignment.shares) {
+        const auto name = shareName(share);
+        const auto *holder = findMember(assignment, share.holder);
+        if (holder == nullptr || holder->incarnation != share.holderIncarnation)
+            errors.push_back(controlError(name, "the holder isn't a member"));
+        if (!seen.emplace(share.leaf, share.ordinal).second)
+            errors.push_back(controlError(name, "is assigned twice"));
+        if (share.ordinal >= maxSharesPerLeaf)
+            errors.push_back(controlError(name, "the ordinal is too large"));
+        if (share.since > assignment.epoch)
+            errors.push_back(controlError(name, "was assigned in a later epoch"));
+        if (!leafs.contains(share.leaf))
+            errors.push_back(controlError(name, "the leaf isn't one of the cell"));
+        add(sums[share.leaf], share.size);
+    }
+    for (const auto &[leaf, sum] : sums) {
+        const auto found = leafs.find(leaf);
+        if (found != leafs.end() && !fits(sum, *found->second))
+            errors.push_back(controlError("leaf " + found->second->name,
+                                          "the shares exceed the leaf's limits"));
+    }
+    if (!std::ranges::is_sorted(assignment.members, std::ranges::less_equal(), &Member::id)
+        && assignment.members.size() > 1)
+        errors.push_back(controlError("members", "aren't ordered by id"));
+    return errors;
+}
+
 auto findMember(const Assignment &assignment, InstanceId id) -> const Member *
 {
     const auto found = std::ranges::find(assignment.members, id, &Member::id);
--- /dev/null
+++ b/core/propagation.cpp
@@ -0,0 +1,229 @@
+#include "propagation.h"
+
+#include <algorithm>
+
+namespace crocusreach {
+
+namespace {
+
+constexpr Duration shortestBackoff = std::chrono::milliseconds(250);
+constexpr std::uint32_t mostDoublings = 8;
+
+// How long the assignment is read back after a write without a reply.
+constexpr Duration uncertainTime = std::chrono::seconds(10);
+
+auto noteFailure(Propagation &propagation, const ControlSettings &settings, TimePoint now) -> void
+{
+    const auto doublings = std::min(propagation.failures, mostDoublings);
+    const auto backoff = std::min(settings.storeBackoffLimit, shortestBackoff * (1 << doublings));
+    ++propagation.failures;
+    propagation.storeReachable = false;
+    propagation.storeAllowedAt = now + jittered(propagation, backoff);
+}
+
+auto noteSuccess(Propagation &propagation) -> void
+{
+    propagation.failures = 0;
+    propagation.storeReachable = true;
+    propagation.storeAllowedAt = {};
+}
+
+auto noteUnknown(Propagation &propagation, const PendingCall &call, const ControlSettings &settings,
+                 TimePoint now) -> void
+{
+    if (call.operation == StoreOperation::Watch) {
+        ++propagation.silentWatches;
+        propagation.watchAllowedAt = now + jittered(propagation, settings.storeTimeout);
+        return;
+    }
+    noteFailure(propagation, settings, now);
+    if (call.operation == StoreOperation::Write)
+        propagation.uncertainUntil = now + uncertainTime;
+}
+
+auto noteRead(Propagation &propagation, const PendingCall &call) -> void
+{
+    auto &readAt = call.kind == StateKind::Configuration ? propagation.configurationReadAt
+                                                         : propagation.assignmentReadAt;
+    if (!readAt || *readAt < call.startedAt)
+        readAt = call.startedAt;
+}
+
+auto addCall(Propagation &propagation, StoreCall call, TimePoint now, ControlActions &actions)
+        -> void
+{
+    call.call = propagation.nextCall++;
+    propagation.pending.push_back({call.call, call.operation, call.kind, now,
+                                   now + call.timeout + replyGrace, call.assignment, std::nullopt});
+    actions.emplace_back(std::move(call));
+}
+
+auto pullKind(std::optional<TimePoint> &pulledAt, const Heartbeat &state, FetchState fetch,
+              TimePoint now, ControlActions &actions) -> void
+{
+    if (pulledAt && now - *pulledAt < pullTimeout)
+        return;
+    pulledAt = now;
+    actions.emplace_back(SendFetch{state.from.address, fetch});
+}
+
+} // namespace
+
+auto jittered(Propagation &propagation, Duration duration) -> Duration
+{
+    constexpr std::uint64_t parts = 1024;
+    propagation.seed = hashPair(propagation.seed, propagation.nextCall);
+    const auto part = static_cast<Duration::rep>(propagation.seed % parts);
+    return duration / 2 + duration * part / (2 * static_cast<Duration::rep>(parts));
+}
+
+auto adoptConfiguration(Propagation &propagation, std::shared_ptr<const Configuration> newer)
+        -> bool
+{
+    if (newer == nullptr || newer->revision <= propagation.configuration->revision)
+        return false;
+    propagation.leafIndex = std::make_shared<const LeafIndex>(buildLeafIndex(*newer));
+    propagation.configuration = std::move(newer);
+    propagation.configurationPulledAt.reset();
+    return true;
+}
+
+auto adoptAssignment(Propagation &propagation, std::shared_ptr<const Assignment> newer) -> bool
+{
+    if (newer == nullptr || newer->epoch <= propagation.assignment->epoch)
+        return false;
+    propagation.assignment = std::move(newer);
+    propagation.assignmentKnown = true;
+    propagation.assignmentPulledAt.reset();
+    return true;
+}
+
+auto isPending(const Propagation &propagation, StoreOperation operation, StateKind kind) -> bool
+{
+    return std::ranges::any_of(propagation.pending, [&](const PendingCall &call) {
+        return call.operation == operation && call.kind == kind;
+    });
+}
+
+auto mayCallStore(const Propagation &propagation, TimePoint now) -> bool
+{
+    return now >= propagation.storeAllowedAt;
+}
+
+auto startRead(Propagation &propagation, StateKind kind, const ControlSettings &settings,
+               TimePoint now, ControlActions &actions) -> void
+{
+    auto &askedAt = kind == StateKind::Configuration ? propagation.configurationAskedAt
+                                                     : propagation.assignmentAskedAt;
+    askedAt = now;
+    auto call = StoreCall();
+    call.operation = StoreOperation::Read;
+    call.kind = kind;
+    call.timeout = settings.storeTimeout;
+    addCall(propagation, std::move(call), now, actions);
+}
+
+auto startWatch(Propagation &propagation, const ControlSettings &settings, TimePoint now,
+                ControlActions &actions) -> void
+{
+    auto call = StoreCall();
+    call.operation = StoreOperation::Watch;
+    call.kind = StateKind::Configuration;
+    call.version = number(propagation.configuration->revision);
+    call.timeout = watchTime + settings.storeTimeout;
+    addCall(propagation, std::move(call), now, actions);
+}
+
+auto startWrite(Propagation &propagation, std::shared_ptr<const Assignment> assignment,
+                std::uint64_t expected, const ControlSettings &settings, TimePoint now,
+                ControlActions &actions) -> void
+{
+    auto call = StoreCall();
+    call.operation = StoreOperation::Write;
+    call.kind = StateKind::Assignment;
+    call.version = expected;
+    call.assignment = std::move(assignment);
+    call.timeout = settings.storeTimeout;
+    addCall(propagation, std::move(call), now, actions);
+}
+
+auto takeReply(Propagation &propagation, const StoreReply &reply, const ControlSettings &settings,
+               TimePoint now) -> std::optional<PendingCall>
+{
+    const auto found = std::ranges::find(propagation.pending, reply.call, &PendingCall::call);
+    if (found == propagation.pending.end())
+        return std::nullopt;
+    const auto call = *found;
+    propagation.pending.erase(found);
+    if (reply.status == StoreStatus::Unknown) {
+        noteUnknown(propagation, call, settings, now);
+        return call;
+    }
+    noteSuccess(propagation);
+    if (call.operation == StoreOperation::Read)
+        noteRead(propagation, call);
+    return call;
+}
+
+auto giveUpCalls(Propagation &propagation, const ControlSettings &settings, TimePoint now) -> void
+{
+    const auto isSilent
+            = [&](const PendingCall &call) { return call.silentAt && now >= *call.silentAt; };
+    propagation.silentWatches += std::erase_if(propagation.pending, isSilent);
+    for (const auto &call : propagation.pending) {
+        if (now >= call.givenUpAt)
+            noteUnknown(propagation, call, settings, now);
+    }
+    std::erase_if(propagation.pending,
+                  [&](const PendingCall &call) { return now >= call.givenUpAt; });
+}
+
+auto suspectWatch(Propagation &propagation, const PendingCall &read, TimePoint now) -> void
+{
+    for (auto &call : propagation.pending) {
+        if (call.operation == StoreOperation::Watch && call.startedAt <= read.startedAt
+            && !call.silentAt)
+            call.silentAt = now + watchLag;
+    }
+}
+
+auto nextStoreTime(const Propagation &propagation, TimePoint now) -> std::optional<TimePoint>
+{
+    auto next = std::optional<TimePoint>();
+    if (propagation.storeAllowedAt > now)
+        next = propagation.storeAllowedAt;
+    for (const auto &call : propagation.pending) {
+        const auto end = std::min(call.givenUpAt, call.silentAt.value_or(call.givenUpAt));
+        if (!next || end < *next)
+            next = end;
+    }
+    return next;
+}
+
+auto pull(Propagation &propagation, const Heartbeat &state, InstanceId self, TimePoint now,
+          ControlActions &actions) -> void
+{
+    if (state.revision > propagation.configuration->revision)
+        pullKind(propagation.configurationPulledAt, state,
+                 {self, StateKind::Configuration, number(propagation.configuration->revision)}, now,
+                 actions);
+    if (state.epoch > propagation.assignment->epoch)
+        pullKind(propagation.assignmentPulledAt, state,
+                 {self, StateKind::Assignment, number(propagation.assignment->epoch)}, now,
+                 actions);
+}
+
+auto answerFetch(const Propagation &propagation, const FetchState &fetch, InstanceId self)
+        -> FetchedState
+{
+    auto fetched = FetchedState{self, nullptr, nullptr};
+    if (fetch.kind == StateKind::Configuration) {
+        if (number(propagation.configuration->revision) > fetch.newerThan)
+            fetched.configuration = propagation.configuration;
+    } else if (number(propagation.assignment->epoch) > fetch.newerThan) {
+        fetched.assignment = propagation.assignment;
+    }
+    return fetched;
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/core/propagation.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "control.h"
+#include "types.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+// The newest configuration and assignment that an instance knows, and its calls to the store and to
+// peers that keep them new.
+
+namespace crocusreach {
+
+// How long a watch stays pending at the store before it is made anew.
+constexpr Duration watchTime = std::chrono::seconds(20);
+
+// A call whose reply hasn't arrived this long after its timeout is given up by the core too.
+constexpr Duration replyGrace = std::chrono::milliseconds(500);
+
+// How long a watch may lag behind a read that found a newer revision.
+constexpr Duration watchLag = std::chrono::milliseconds(300);
+
+// A pull that isn't answered within this time is repeated, perhaps at another peer.
+constexpr Duration pullTimeout = std::chrono::seconds(1);
+
+struct PendingCall
+{
+    std::uint64_t call = 0;
+    StoreOperation operation = StoreOperation::Read;
+    StateKind kind = StateKind::Configuration;
+    TimePoint startedAt = {};
+    TimePoint givenUpAt = {};
+    std::shared_ptr<const Assignment> assignment; // of a write
+    // A read has found what this watch should have reported; without a reply by then it is silent.
+    std::optional<TimePoint> silentAt;
+};
+
+struct Propagation
+{
+    std::shared_ptr<const Configuration> configuration; // never null
+    std::shared_ptr<const LeafIndex> leafIndex; // never null
+    std::shared_ptr<const Assignment> assignment; // never null; epoch 0 if unknown or absent
+    bool assignmentKnown = false; // the store or a peer has said what it is, or that it is absent
+    std::vector<PendingCall> pending;
+    std::uint64_t nextCall = 1;
+    std::uint64_t seed = 0; // of the jitter
+    std::uint32_t failures = 0; // of the store in a row
+    TimePoint storeAllowedAt = {}; // end of the back-off
+    TimePoint watchAllowedAt = {}; // the same for watches; reads judge the store
+    bool storeReachable = false;
+    // Start of the newest completed read of each kind.
+    std::optional<TimePoint> configurationReadAt;
+    std::optional<TimePoint> assignmentReadAt;
+    // Last start of a read of each kind.
+    std::optional<TimePoint> configurationAskedAt;
+    std::optional<TimePoint> assignmentAskedAt;
+    // A write without a reply may take effect later: the assignment is read back until then.
+    std::optional<TimePoint> uncertainUntil;
+    std::optional<TimePoint> configurationPulledAt;
+    std::optional<TimePoint> assignmentPulledAt;
+    std::uint64_t silentWatches = 0; // found by reads
+};
+
+// Part of a duration between half and all of it, different at each call.
+auto jittered(Propagation &propagation, Duration duration) -> Duration;
+
+// Take a state if it is newer than the present one; true if so.
+auto adoptConfiguration(Propagation &propagation, std::shared_ptr<const Configuration> newer)
+        -> bool;
+auto adoptAssignment(Propagation &propagation, std::shared_ptr<const Assignment> newer) -> bool;
+
+auto isPending(const Propagation &propagation, StoreOperation operation, StateKind kind) -> bool;
+
+// True if the back-off allows a call.
+auto mayCallStore(const Propagation &propagation, TimePoint now) -> bool;
+
+auto startRead(Propagation &propagation, StateKind kind, const ControlSettings &settings,
+               TimePoint now, ControlActions &actions) -> void;
+auto startWatch(Propagation &propagation, const ControlSettings &settings, TimePoint now,
+                ControlActions &actions) -> void;
+auto startWrite(Propagation &propagation, std::shared_ptr<const Assignment> assignment,
+                std::uint64_t expected, const ControlSettings &settings, TimePoint now,
+                ControlActions &actions) -> void;
+
+// Finds the call that a reply belongs to and notes if the store is reachable. Nothing if the call
+// was given up.
+auto takeReply(Propagation &propagation, const StoreReply &reply, const ControlSettings &settings,
+               TimePoint now) -> std::optional<PendingCall>;
+
+// Gives up calls that got no reply, and silent watches.
+auto giveUpCalls(Propagation &propagation, const ControlSettings &settings, TimePoint now) -> void;
+
+// Notes that a read found a newer revision, which a pending watch started before should report too.
+auto suspectWatch(Propagation &propagation, const PendingCall &read, TimePoint now) -> void;
+
+// When a pending call is given up or the back-off ends.
+auto nextStoreTime(const Propagation &propagation, TimePoint now) -> std::optional<TimePoint>;
+
+// Asks a peer for the state if it reported a newer one and no pull is under way.
+auto pull(Propagation &propagation, const Heartbeat &state, InstanceId self, TimePoint now,
+          ControlActions &actions) -> void;
+
+// What a peer gets that asks.
+auto answerFetch(const Propagation &propagation, const FetchState &fetch, InstanceId self)
+        -> FetchedState;
+
+} // namespace crocusreach
