--- a/core/configuration.cpp
+++ b/core/configuration.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t longestName = 64;
+// Far above the 160 shards of a query at design scale; bounds the work that one wrong number
+// causes.
+constexpr std::uint32_t mostShards = 65536;
 
 auto isName(std::string_view text) -> bool
 {
@@ -88,9 +91,11 @@
 {
     checkName(service.name, path, errors);
     checkName(service.cell, path + ".cell", errors);
-    if (service.shardCount == 0)
-        errors.push_back(fieldError(path + ".shard_count", "must be at least 1"));
-    auto served = std::vector<bool>(std::min<std::uint32_t>(service.shardCount, 1U << 20));
+    if (service.shardCount == 0 || service.shardCount > mostShards) {
+        errors.push_back(fieldError(path + ".shard_count",
+                                    "must be from 1 to " + std::to_string(mostShards)));
+    }
+    auto served = std::vector<bool>(service.shardCount > mostShards ? 0 : service.shardCount);
     for (std::size_t index = 0; index < service.leafs.size(); ++index) {
         const auto &leaf = service.leafs[index];
         const auto leafPath = path + ".leafs[" + std::to_string(index) + "]";
