Use one rule for request ids

Change: formats call core/claims; ids of dots alone are refused in both. Attempts that were given up show their unanswered time in the account.

--- a/formats/querymessages.cpp
+++ b/formats/querymessages.cpp
@@ -2,8 +2,6 @@
 
 #include "jsonreader.h"
 
-#include <algorithm>
-
 namespace crocusreach {
 
 namespace {
@@ -16,17 +14,6 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-// An id of dots alone would be a relative path in the store's URL.
-auto isRequestId(std::string_view text) -> bool
-{
-    const auto allowed = [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
-               || c == '-' || c == '_' || c == '.';
-    };
-    return !text.empty() && text.size() <= longestRequestId && std::ranges::all_of(text, allowed)
-           && text.find_first_not_of('.') != std::string_view::npos;
-}
-
 auto readRequestId(JsonObject &object, QueryArrived &query) -> void
 {
     if (readString(object, "request_id", query.requestId) && !isRequestId(query.requestId))
@@ -110,6 +97,7 @@
     json["queued_ms"] = milliseconds(attempt.parts.queued);
     json["connecting_ms"] = milliseconds(attempt.parts.connecting);
     json["target_ms"] = milliseconds(attempt.parts.target);
+    json["unanswered_ms"] = milliseconds(attempt.parts.unanswered);
     return json;
 }
 
@@ -126,19 +114,6 @@
     return json;
 }
 
-auto statusName(AnswerStatus status) -> std::string_view
-{
-    switch (status) {
-    case AnswerStatus::Complete:
-        return "complete";
-    case AnswerStatus::Partial:
-        return "partial";
-    case AnswerStatus::Refused:
-        return "refused";
-    }
-    return "refused";
-}
-
 // Only a refusal and a non-idempotent request have an outcome that the caller must act on.
 auto addOutcome(const QueryAnswered &answer, Json &json) -> void
 {
@@ -182,7 +157,7 @@
 auto writeAnswer(const QueryAnswered &answer) -> std::string
 {
     auto json = Json::object();
-    json["status"] = statusName(answer.status);
+    json["status"] = toString(answer.status);
     addOutcome(answer, json);
     json["index_version"] = number(answer.version);
     json["layout"] = number(answer.layout);
