--- a/tests/core_query.cpp
+++ b/tests/core_query.cpp
@@ -183,6 +183,19 @@
                 CHECK(queriesInFlight(*driver.state) == 0);
             }
         }
+        WHEN("a reply has rows but no index version")
+        {
+            driver.feed(goodReply(driver.sent[0], 0));
+            // Guards against an answer whose shards can't be shown to be of one version.
+            THEN("it is not merged, and another replica is asked")
+            {
+                REQUIRE(driver.sent.size() == 4);
+                CHECK(driver.sent[3].shard == driver.sent[0].shard);
+                CHECK(counters(*driver.state)
+                              .retriesByReason[static_cast<std::size_t>(Reason::BadReply)]
+                      == 1);
+            }
+        }
         WHEN("a target sheds")
         {
             driver.feed(badReply(driver.sent[0], Reason::TargetShed, Outcome::NotRun));
