--- a/core/sheet.cpp
+++ b/core/sheet.cpp
@@ -115,13 +115,13 @@
     return buffer.data();
 }
 
-// For each shard of a service, whether a replica is in play.
+// For each shard of a service, whether the failure domain of a replica is in play.
 auto shardsInPlay(const Service &service, const Configuration &configuration) -> std::vector<bool>
 {
     auto inPlay = std::vector<bool>(service.shardCount);
     for (const auto &leaf : service.leafs) {
-        const auto entry = LeafEntry{&service, &leaf, findDomain(configuration, leaf.domain)};
-        if (!isInPlay(entry))
+        const auto *domain = findDomain(configuration, leaf.domain);
+        if (domain == nullptr || domain->decision.state == DesiredState::Out)
             continue;
         for (const auto shard : leaf.shards)
             inPlay[number(shard)] = true;
--- a/core/sheet.h
+++ b/core/sheet.h
@@ -96,7 +96,7 @@
 // One sentence for operators, without times.
 auto describe(const Confirmation &confirmation) -> std::string;
 
-// Shards that have a replica in play before and none after, of services that stay in play.
+// Shards that lose their last replica in play, of services that are in play afterwards.
 auto shardsLosingReplicas(const Configuration &before, const Configuration &after)
         -> std::vector<ShardWithoutReplica>;
 
