--- a/core/sheet.cpp
+++ b/core/sheet.cpp
@@ -129,6 +129,25 @@
     return inPlay;
 }
 
+auto describeOne(const NewerDecision &newer) -> std::string
+{
+    return "line " + std::to_string(newer.row.line) + ": " + rowTitle(newer.row) + " was set "
+           + std::string(toString(newer.decision.state)) + " by " + newer.decision.author
+           + " after the sheet was exported";
+}
+
+auto describeOne(const ManyOut &many) -> std::string
+{
+    return std::to_string(many.out) + " of " + std::to_string(many.declared) + " items of kind "
+           + std::string(toString(many.kind)) + " would be out";
+}
+
+auto describeOne(const ShardWithoutReplica &shard) -> std::string
+{
+    return "shard " + std::to_string(number(shard.shard)) + " of service " + shard.service
+           + " would have no replica in play";
+}
+
 } // namespace
 
 auto findDecision(const Configuration &configuration, ItemKind kind, std::string_view name)
@@ -189,24 +208,7 @@
 
 auto describe(const Confirmation &confirmation) -> std::string
 {
-    return std::visit(Overloaded{[](const NewerDecision &newer) {
-                                     return "line " + std::to_string(newer.row.line) + ": "
-                                            + rowTitle(newer.row) + " was set "
-                                            + std::string(toString(newer.decision.state)) + " by "
-                                            + newer.decision.author
-                                            + " after the sheet was exported";
-                                 },
-                                 [](const ManyOut &many) {
-                                     return std::to_string(many.out) + " of "
-                                            + std::to_string(many.declared) + " items of kind "
-                                            + std::string(toString(many.kind)) + " would be out";
-                                 },
-                                 [](const ShardWithoutReplica &shard) {
-                                     return "shard " + std::to_string(number(shard.shard))
-                                            + " of service " + shard.service
-                                            + " would have no replica in play";
-                                 }},
-                      confirmation);
+    return std::visit([](const auto &one) { return describeOne(one); }, confirmation);
 }
 
 auto shardsLosingReplicas(const Configuration &before, const Configuration &after)
