--- a/runtime/peertask.cpp
+++ b/runtime/peertask.cpp
@@ -3,10 +3,6 @@
 #include "clock.h"
 #include "log.h"
 
-#include <array>
-#include <deque>
-#include <optional>
-
 namespace crocusreach {
 
 namespace {
@@ -20,43 +16,6 @@
 // A peer that doesn't read must not fill the memory.
 constexpr std::size_t queueLimit = 8192; // messages of one stream
 
-enum class LinkOperation : std::uint8_t { Open, Metadata, Read, Write, Finish, Count };
-
-struct LinkTag
-{
-    PeerLink *link = nullptr;
-    LinkOperation operation = LinkOperation::Open;
-};
-
-} // namespace
-
-// One stream, opened by this instance (with an address) or by a peer.
-struct PeerLink
-{
-    std::string address; // empty if the peer opened it
-    InstanceId peer = {};
-    std::array<LinkTag, static_cast<std::size_t>(LinkOperation::Count)> tags;
-    std::size_t pending = 0; // operations that gRPC has not completed
-    bool open = false;
-    bool failed = false;
-    bool finishing = false;
-    bool writing = false;
-    std::optional<TimePoint> unansweredSince; // the first heartbeat without a reply
-    std::deque<PeerPayload> waiting;
-    wire::PeerMessage read;
-    wire::PeerMessage written;
-
-    std::shared_ptr<grpc::Channel> channel;
-    std::unique_ptr<wire::Peer::Stub> stub;
-    std::unique_ptr<grpc::ClientContext> clientContext;
-    std::unique_ptr<grpc::ClientAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>> up;
-    std::unique_ptr<grpc::ServerContext> serverContext;
-    std::unique_ptr<grpc::ServerAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>> down;
-    grpc::Status status;
-};
-
-namespace {
-
 auto isOutgoing(const PeerLink &link) -> bool
 {
     return link.clientContext != nullptr;
@@ -96,7 +55,7 @@
 auto isHeartbeat(const PeerPayload &payload) -> bool
 {
     return std::holds_alternative<Heartbeat>(payload)
-            || std::holds_alternative<HeartbeatReply>(payload);
+           || std::holds_alternative<HeartbeatReply>(payload);
 }
 
 } // namespace
@@ -255,9 +214,9 @@
     auto owned = std::make_unique<PeerLink>();
     auto &link = *owned;
     link.serverContext = std::make_unique<grpc::ServerContext>();
-    link.down = std::make_unique<
-            grpc::ServerAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>>(
-            link.serverContext.get());
+    link.down
+            = std::make_unique<grpc::ServerAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>>(
+                    link.serverContext.get());
     this->service.RequestLink(link.serverContext.get(), link.down.get(), this->queue.get(),
                               this->queue.get(), startTag(link, LinkOperation::Open));
     this->links.emplace(&link, std::move(owned));
@@ -268,8 +227,9 @@
     const auto tag = *static_cast<LinkTag *>(completion.tag);
     auto &link = *tag.link;
     --link.pending;
-    if (tag.operation == LinkOperation::Finish || (!isOutgoing(link) && !link.open && !completion.ok
-                                                   && tag.operation == LinkOperation::Open)) {
+    if (tag.operation == LinkOperation::Finish
+        || (!isOutgoing(link) && !link.open && !completion.ok
+            && tag.operation == LinkOperation::Open)) {
         this->links.erase(&link);
         return;
     }
@@ -385,31 +345,31 @@
 
 auto PeerTask::deliver(PeerLink &link, PeerPayload &&payload) -> void
 {
-    const auto handlers = Overloaded{
-            [&](LeafRequest &&request) {
-                this->learnPeer(link, request.origin);
-                this->outlets.dispatch(std::move(request));
-            },
-            [&](OriginatedReply &&originated) {
-                if (originated.origin == this->outlets.self)
-                    this->outlets.query(std::move(originated.reply));
-            },
-            [&](CancelLeafRequest &&cancel) { this->outlets.dispatch(cancel); },
-            [&](Heartbeat &&heartbeat) {
-                this->learnPeer(link, heartbeat.from.id);
-                this->outlets.control(std::move(heartbeat));
-            },
-            [&](HeartbeatReply &&reply) {
-                link.unansweredSince.reset();
-                if (isOutgoing(link))
-                    link.peer = reply.state.from.id;
-                this->outlets.control(std::move(reply));
-            },
-            [&](FetchState &&fetch) {
-                this->learnPeer(link, fetch.from);
-                this->outlets.control(fetch);
-            },
-            [&](FetchedState &&state) { this->outlets.control(std::move(state)); }};
+    const auto handlers
+            = Overloaded{[&](LeafRequest &&request) {
+                             this->learnPeer(link, request.origin);
+                             this->outlets.dispatch(std::move(request));
+                         },
+                         [&](OriginatedReply &&originated) {
+                             if (originated.origin == this->outlets.self)
+                                 this->outlets.query(std::move(originated.reply));
+                         },
+                         [&](CancelLeafRequest &&cancel) { this->outlets.dispatch(cancel); },
+                         [&](Heartbeat &&heartbeat) {
+                             this->learnPeer(link, heartbeat.from.id);
+                             this->outlets.control(std::move(heartbeat));
+                         },
+                         [&](HeartbeatReply &&reply) {
+                             link.unansweredSince.reset();
+                             if (isOutgoing(link))
+                                 link.peer = reply.state.from.id;
+                             this->outlets.control(std::move(reply));
+                         },
+                         [&](FetchState &&fetch) {
+                             this->learnPeer(link, fetch.from);
+                             this->outlets.control(fetch);
+                         },
+                         [&](FetchedState &&state) { this->outlets.control(std::move(state)); }};
     std::visit(handlers, std::move(payload));
 }
 
--- a/runtime/peertask.h
+++ b/runtime/peertask.h
@@ -5,7 +5,7 @@
 #include "core/dispatch.h"
 #include "core/query.h"
 #include "mailbox.h"
-#include "wire/codec.h"
+#include "peerlink.h"
 
 #include <grpcpp/grpcpp.h>
 #include <peer.grpc.pb.h>
@@ -22,8 +22,6 @@
 
 namespace crocusreach {
 
-struct PeerLink;
-
 // An operation of gRPC on a stream that has ended. Posted by the thread that waits for gRPC.
 struct LinkCompletion
 {
--- a/runtime/querytask.cpp
+++ b/runtime/querytask.cpp
@@ -1,12 +1,11 @@
 #include "querytask.h"
 
+#include "formats/claimjson.h"
+
 namespace crocusreach {
 
 namespace {
 
-// A claim that takes longer would leave no time for the request itself.
-constexpr auto claimTimeout = Duration(std::chrono::seconds(1));
-
 auto objectOperation(ClaimOperation operation) -> ObjectOperation
 {
     switch (operation) {
@@ -37,18 +36,33 @@
     return ClaimStatus::Unknown;
 }
 
+auto claimReply(QueryId query, ClaimOperation operation, std::string_view key,
+                const ObjectReply &object) -> ClaimReply
+{
+    auto reply = ClaimReply{query, operation, claimStatus(object.status), {}, object.version};
+    if (operation != ClaimOperation::Read || reply.status != ClaimStatus::Ok)
+        return reply;
+    auto parsed = parseClaim(object.value, key);
+    // A claim that can't be read says nothing about the request.
+    if (failed(parsed))
+        reply.status = ClaimStatus::Unknown;
+    else
+        reply.record = std::get<ClaimRecord>(std::move(parsed));
+    return reply;
+}
+
 auto callStore(const QueryOutlets &outlets, ClaimCall &&claim) -> void
 {
     auto call = ObjectCall();
     call.operation = objectOperation(claim.operation);
-    call.key = std::move(claim.key);
-    call.value = std::move(claim.value);
+    call.key = claim.key;
+    if (call.operation == ObjectOperation::Put)
+        call.value = writeClaim(claim.record);
     call.version = claim.version;
-    call.timeout = claimTimeout;
-    call.reply = [post = outlets.query, query = claim.query,
-                  operation = claim.operation](ObjectReply &&reply) {
-        post(ClaimReply{query, operation, claimStatus(reply.status), std::move(reply.value),
-                        reply.version});
+    call.timeout = claim.timeout;
+    call.reply = [post = outlets.query, query = claim.query, operation = claim.operation,
+                  key = std::move(claim.key)](ObjectReply &&reply) {
+        post(claimReply(query, operation, key, reply));
     };
     outlets.store(std::move(call));
 }
@@ -74,11 +88,11 @@
 auto performQueryActions(QueryOutlets outlets) -> QueryTask::Perform
 {
     return [outlets = std::move(outlets)](QueryAction &&action) {
-        const auto handlers = Overloaded{
-                [&](SendLeafRequest &&send) { perform(outlets, std::move(send)); },
-                [&](SendCancel &&send) { perform(outlets, std::move(send)); },
-                [&](ClaimCall &&claim) { callStore(outlets, std::move(claim)); },
-                [&](QueryAnswered &&answer) { outlets.front(std::move(answer)); }};
+        const auto handlers
+                = Overloaded{[&](SendLeafRequest &&send) { perform(outlets, std::move(send)); },
+                             [&](SendCancel &&send) { perform(outlets, std::move(send)); },
+                             [&](ClaimCall &&claim) { callStore(outlets, std::move(claim)); },
+                             [&](QueryAnswered &&answer) { outlets.front(std::move(answer)); }};
         std::visit(handlers, std::move(action));
     };
 }
