--- a/formats/querymessages.h
+++ b/formats/querymessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/claims.h"
 #include "core/query.h"
 #include "core/types.h"
 
@@ -11,7 +12,6 @@
 namespace crocusreach {
 
 // Longest request id; an id becomes part of a key in the store and of a header to targets.
-constexpr std::size_t longestRequestId = 128;
 constexpr std::uint32_t mostRows = 1000; // in one answer
 
 // Parses the body of a query. The query id is left at 0. On failure the error has Step::Accept and
