--- a/runtime/httplisten.cpp
+++ b/runtime/httplisten.cpp
@@ -45,8 +45,8 @@
     if (parsed == nullptr)
         return Error{step, std::string(address), "not an address of the form IP:port"};
     GError *raised = nullptr;
-    const auto listening = soup_server_listen(server, parsed.get(), SoupServerListenOptions(0),
-                                              &raised);
+    const auto listening
+            = soup_server_listen(server, parsed.get(), SoupServerListenOptions(0), &raised);
     const auto error = ErrorPtr(raised);
     if (listening == FALSE)
         return Error{step, std::string(address), error->message};
--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -37,8 +37,8 @@
     auto text = readFile(settings.embeddedConfiguration);
     if (failed(text))
         return std::get<Error>(std::move(text));
-    const auto parsed = parseConfiguration(std::get<std::string>(text),
-                                           settings.embeddedConfiguration);
+    const auto parsed
+            = parseConfiguration(std::get<std::string>(text), settings.embeddedConfiguration);
     if (failed(parsed))
         return std::get<Error>(parsed);
     return EmbeddedObjects{{std::string(configurationKey), std::get<std::string>(std::move(text))}};
@@ -94,8 +94,10 @@
 
     auto queryOutlets = QueryOutlets();
     queryOutlets.self = this->self;
-    queryOutlets.dispatch = [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); };
-    queryOutlets.peerRequest = [this](SendLeafRequest &&send) { this->peer->post(std::move(send)); };
+    queryOutlets.dispatch
+            = [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); };
+    queryOutlets.peerRequest
+            = [this](SendLeafRequest &&send) { this->peer->post(std::move(send)); };
     queryOutlets.peerCancel = [this](SendCancel &&send) { this->peer->post(std::move(send)); };
     queryOutlets.store = [this](ObjectCall &&call) { this->store->post(std::move(call)); };
     queryOutlets.front = [this](QueryAnswered &&answer) {
@@ -108,17 +110,15 @@
 
     auto dispatchOutlets = DispatchOutlets();
     dispatchOutlets.self = this->self;
-    dispatchOutlets.target = [this](TargetMessage &&message) {
-        this->sendToTarget(std::move(message));
-    };
+    dispatchOutlets.target
+            = [this](TargetMessage &&message) { this->sendToTarget(std::move(message)); };
     dispatchOutlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
     dispatchOutlets.peer = [this](LeafReplyTo &&reply) { this->peer->post(std::move(reply)); };
-    dispatchOutlets.control = [this](ControlEvent &&event) {
-        this->control->post(std::move(event));
-    };
-    this->dispatch = std::make_unique<DispatchTask>(
-            "dispatch", makeDispatchState(settings.dispatch),
-            performDispatchActions(std::move(dispatchOutlets)));
+    dispatchOutlets.control
+            = [this](ControlEvent &&event) { this->control->post(std::move(event)); };
+    this->dispatch
+            = std::make_unique<DispatchTask>("dispatch", makeDispatchState(settings.dispatch),
+                                             performDispatchActions(std::move(dispatchOutlets)));
 }
 
 Instance::~Instance()
@@ -180,8 +180,7 @@
     outlets.publish = [this](const ClusterViewPtr &published) { this->publish(published); };
     outlets.control = [this](ControlEvent &&event) { this->control->post(std::move(event)); };
     this->control = std::make_unique<ControlTask>(
-            "control",
-            makeControlState(controlSettings(this->settings, this->listeners.peer)),
+            "control", makeControlState(controlSettings(this->settings, this->listeners.peer)),
             performControlActions(std::move(outlets)));
     this->query->start();
     this->dispatch->start();
@@ -248,9 +247,10 @@
 auto Instance::updateServing() -> void
 {
     const auto stopping = this->stop.began != TimePoint();
-    const auto configured = this->view != nullptr && number(this->view->configuration->revision) != 0;
-    this->front->post(Serving{configured && !stopping && !isSelfOut(*this->view),
-                              !this->stop.refusing});
+    const auto configured
+            = this->view != nullptr && number(this->view->configuration->revision) != 0;
+    this->front->post(
+            Serving{configured && !stopping && !isSelfOut(*this->view), !this->stop.refusing});
 }
 
 auto Instance::collectMetrics() -> void
@@ -289,7 +289,7 @@
         this->updateServing();
     }
     const auto quiet = this->stop.refusing && this->stop.queries == 0 && this->stop.requests == 0
-            && (this->view == nullptr || this->view->held.empty());
+                       && (this->view == nullptr || this->view->held.empty());
     if (!quiet)
         this->stop.quietSince.reset();
     else if (!this->stop.quietSince)
--- a/runtime/log.cpp
+++ b/runtime/log.cpp
@@ -25,13 +25,14 @@
 namespace sinks = boost::log::sinks;
 
 constexpr std::size_t queuedLines = 4096;
-using Sink = sinks::asynchronous_sink<
-        sinks::text_ostream_backend,
-        sinks::bounded_fifo_queue<queuedLines, sinks::drop_on_overflow>>;
+using Sink
+        = sinks::asynchronous_sink<sinks::text_ostream_backend,
+                                   sinks::bounded_fifo_queue<queuedLines, sinks::drop_on_overflow>>;
 
 constexpr auto events = std::to_array<LogEventInfo>({
         {LogEvent::InstanceStarted, "instance_started", Severity::Info, "the instance runs"},
-        {LogEvent::ListenerOpened, "listener_opened", Severity::Info, "a listener accepts connections"},
+        {LogEvent::ListenerOpened, "listener_opened", Severity::Info,
+         "a listener accepts connections"},
         {LogEvent::StopRequested, "stop_requested", Severity::Info,
          "the instance reports itself leaving and begins to stop"},
         {LogEvent::QueriesRefused, "queries_refused", Severity::Info,
@@ -66,16 +67,17 @@
 
 auto infoOf(LogEvent event) -> const LogEventInfo &
 {
-    const auto *const found = std::find_if(
-            events.begin(), events.end(),
-            [&](const LogEventInfo &info) { return info.event == event; });
+    const auto *const found
+            = std::find_if(events.begin(), events.end(),
+                           [&](const LogEventInfo &info) { return info.event == event; });
     return found == events.end() ? events.back() : *found;
 }
 
 auto isPlain(char character) -> bool
 {
     const auto letter = (character >= 'a' && character <= 'z')
-            || (character >= 'A' && character <= 'Z') || (character >= '0' && character <= '9');
+                        || (character >= 'A' && character <= 'Z')
+                        || (character >= '0' && character <= '9');
     return letter || std::string_view("-_.:/,+").find(character) != std::string_view::npos;
 }
 
--- a/runtime/peertask.cpp
+++ b/runtime/peertask.cpp
@@ -96,7 +96,7 @@
 auto isHeartbeat(const PeerPayload &payload) -> bool
 {
     return std::holds_alternative<Heartbeat>(payload)
-            || std::holds_alternative<HeartbeatReply>(payload);
+           || std::holds_alternative<HeartbeatReply>(payload);
 }
 
 } // namespace
@@ -255,9 +255,9 @@
     auto owned = std::make_unique<PeerLink>();
     auto &link = *owned;
     link.serverContext = std::make_unique<grpc::ServerContext>();
-    link.down = std::make_unique<
-            grpc::ServerAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>>(
-            link.serverContext.get());
+    link.down
+            = std::make_unique<grpc::ServerAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>>(
+                    link.serverContext.get());
     this->service.RequestLink(link.serverContext.get(), link.down.get(), this->queue.get(),
                               this->queue.get(), startTag(link, LinkOperation::Open));
     this->links.emplace(&link, std::move(owned));
@@ -268,8 +268,9 @@
     const auto tag = *static_cast<LinkTag *>(completion.tag);
     auto &link = *tag.link;
     --link.pending;
-    if (tag.operation == LinkOperation::Finish || (!isOutgoing(link) && !link.open && !completion.ok
-                                                   && tag.operation == LinkOperation::Open)) {
+    if (tag.operation == LinkOperation::Finish
+        || (!isOutgoing(link) && !link.open && !completion.ok
+            && tag.operation == LinkOperation::Open)) {
         this->links.erase(&link);
         return;
     }
@@ -385,31 +386,31 @@
 
 auto PeerTask::deliver(PeerLink &link, PeerPayload &&payload) -> void
 {
-    const auto handlers = Overloaded{
-            [&](LeafRequest &&request) {
-                this->learnPeer(link, request.origin);
-                this->outlets.dispatch(std::move(request));
-            },
-            [&](OriginatedReply &&originated) {
-                if (originated.origin == this->outlets.self)
-                    this->outlets.query(std::move(originated.reply));
-            },
-            [&](CancelLeafRequest &&cancel) { this->outlets.dispatch(cancel); },
-            [&](Heartbeat &&heartbeat) {
-                this->learnPeer(link, heartbeat.from.id);
-                this->outlets.control(std::move(heartbeat));
-            },
-            [&](HeartbeatReply &&reply) {
-                link.unansweredSince.reset();
-                if (isOutgoing(link))
-                    link.peer = reply.state.from.id;
-                this->outlets.control(std::move(reply));
-            },
-            [&](FetchState &&fetch) {
-                this->learnPeer(link, fetch.from);
-                this->outlets.control(fetch);
-            },
-            [&](FetchedState &&state) { this->outlets.control(std::move(state)); }};
+    const auto handlers
+            = Overloaded{[&](LeafRequest &&request) {
+                             this->learnPeer(link, request.origin);
+                             this->outlets.dispatch(std::move(request));
+                         },
+                         [&](OriginatedReply &&originated) {
+                             if (originated.origin == this->outlets.self)
+                                 this->outlets.query(std::move(originated.reply));
+                         },
+                         [&](CancelLeafRequest &&cancel) { this->outlets.dispatch(cancel); },
+                         [&](Heartbeat &&heartbeat) {
+                             this->learnPeer(link, heartbeat.from.id);
+                             this->outlets.control(std::move(heartbeat));
+                         },
+                         [&](HeartbeatReply &&reply) {
+                             link.unansweredSince.reset();
+                             if (isOutgoing(link))
+                                 link.peer = reply.state.from.id;
+                             this->outlets.control(std::move(reply));
+                         },
+                         [&](FetchState &&fetch) {
+                             this->learnPeer(link, fetch.from);
+                             this->outlets.control(fetch);
+                         },
+                         [&](FetchedState &&state) { this->outlets.control(std::move(state)); }};
     std::visit(handlers, std::move(payload));
 }
 
--- a/runtime/querytask.cpp
+++ b/runtime/querytask.cpp
@@ -74,11 +74,11 @@
 auto performQueryActions(QueryOutlets outlets) -> QueryTask::Perform
 {
     return [outlets = std::move(outlets)](QueryAction &&action) {
-        const auto handlers = Overloaded{
-                [&](SendLeafRequest &&send) { perform(outlets, std::move(send)); },
-                [&](SendCancel &&send) { perform(outlets, std::move(send)); },
-                [&](ClaimCall &&claim) { callStore(outlets, std::move(claim)); },
-                [&](QueryAnswered &&answer) { outlets.front(std::move(answer)); }};
+        const auto handlers
+                = Overloaded{[&](SendLeafRequest &&send) { perform(outlets, std::move(send)); },
+                             [&](SendCancel &&send) { perform(outlets, std::move(send)); },
+                             [&](ClaimCall &&claim) { callStore(outlets, std::move(claim)); },
+                             [&](QueryAnswered &&answer) { outlets.front(std::move(answer)); }};
         std::visit(handlers, std::move(action));
     };
 }
--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -128,9 +128,9 @@
     , thread("store")
 {
     this->thread.run([this] {
-        this->session.reset(soup_session_new_with_options(
-                "max-conns", mostConnections, "max-conns-per-host", mostConnections,
-                "proxy-resolver", nullptr, nullptr));
+        this->session.reset(soup_session_new_with_options("max-conns", mostConnections,
+                                                          "max-conns-per-host", mostConnections,
+                                                          "proxy-resolver", nullptr, nullptr));
         this->embeddedTimer = std::make_unique<WakeTimer>(this->thread.context(),
                                                           [this] { this->runEmbeddedTimer(); });
         this->mailbox.attach(this->thread.context(), [this](StoreMessage &&message) {
@@ -201,8 +201,8 @@
 {
     request->task = this;
     request->cancellable.reset(g_cancellable_new());
-    auto *timer = g_timeout_source_new(static_cast<guint>(std::max<std::int64_t>(
-            milliseconds(timeout), 1)));
+    auto *timer = g_timeout_source_new(
+            static_cast<guint>(std::max<std::int64_t>(milliseconds(timeout), 1)));
     auto *sent = request.release();
     g_source_set_callback(timer, &StoreTask::onTimeout, sent, nullptr);
     g_source_attach(timer, this->thread.context());
@@ -231,8 +231,8 @@
 {
     const auto request = std::unique_ptr<Request>(static_cast<Request *>(data));
     GError *raised = nullptr;
-    const auto body = BytesPtr(
-            soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
+    const auto body
+            = BytesPtr(soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
     const auto error = ErrorPtr(raised);
     g_signal_handlers_disconnect_by_data(request->message.get(), request.get());
     request->task->running.erase(request.get());
--- a/tests/processes.cpp
+++ b/tests/processes.cpp
@@ -75,14 +75,24 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-auto httpCall(const std::string &method, const std::string &address, const std::string &path,
-              const std::string &body, const HttpHeaders &headers, std::chrono::seconds limit)
-        -> HttpAnswer
+HttpClient::HttpClient(std::chrono::seconds limit)
+    : session(
+            soup_session_new_with_options("timeout", static_cast<unsigned>(limit.count()), nullptr))
+{ }
+
+HttpClient::~HttpClient()
+{
+    g_object_unref(this->session);
+}
+
+auto HttpClient::call(const std::string &method, const std::string &address,
+                      const std::string &path, const std::string &body, const HttpHeaders &headers,
+                      bool repeatable) -> HttpAnswer
 {
-    const auto session = std::unique_ptr<SoupSession, ObjectUnref>(soup_session_new_with_options(
-            "timeout", static_cast<unsigned>(limit.count()), nullptr));
     const auto message = std::unique_ptr<SoupMessage, ObjectUnref>(
             soup_message_new(method.c_str(), ("http://" + address + path).c_str()));
+    if (repeatable)
+        soup_message_add_flags(message.get(), SOUP_MESSAGE_IDEMPOTENT);
     for (const auto &[name, value] : headers)
         soup_message_headers_replace(soup_message_get_request_headers(message.get()), name.c_str(),
                                      value.c_str());
@@ -90,7 +100,7 @@
     if (!body.empty())
         soup_message_set_request_body_from_bytes(message.get(), "application/json", request);
     g_bytes_unref(request);
-    auto *reply = soup_session_send_and_read(session.get(), message.get(), nullptr, nullptr);
+    auto *reply = soup_session_send_and_read(this->session, message.get(), nullptr, nullptr);
     if (reply == nullptr)
         return {};
     auto size = gsize();
@@ -103,6 +113,13 @@
     return answer;
 }
 
+auto httpCall(const std::string &method, const std::string &address, const std::string &path,
+              const std::string &body, const HttpHeaders &headers, std::chrono::seconds limit)
+        -> HttpAnswer
+{
+    return HttpClient(limit).call(method, address, path, body, headers, false);
+}
+
 auto waitUntil(const std::function<auto()->bool> &condition, std::chrono::milliseconds limit)
         -> bool
 {
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -52,6 +52,24 @@
     std::string state; // of X-State
 };
 
+// Calls on kept connections, one at a time.
+class HttpClient
+{
+public:
+    explicit HttpClient(std::chrono::seconds limit = std::chrono::seconds(10));
+    HttpClient(const HttpClient &) = delete;
+    auto operator=(const HttpClient &) -> HttpClient & = delete;
+    ~HttpClient();
+
+    // The address is IP:port. Only a repeatable call reuses a connection, since libsoup may send it
+    // again.
+    auto call(const std::string &method, const std::string &address, const std::string &path,
+              const std::string &body, const HttpHeaders &headers, bool repeatable) -> HttpAnswer;
+
+private:
+    struct _SoupSession *session; // owned
+};
+
 // One HTTP call on a connection of its own. The address is IP:port.
 auto httpCall(const std::string &method, const std::string &address, const std::string &path,
               const std::string &body = {}, const HttpHeaders &headers = {},
