--- a/runtime/peertask.cpp
+++ b/runtime/peertask.cpp
@@ -3,10 +3,6 @@
 #include "clock.h"
 #include "log.h"
 
-#include <array>
-#include <deque>
-#include <optional>
-
 namespace crocusreach {
 
 namespace {
@@ -20,43 +16,6 @@
 // A peer that doesn't read must not fill the memory.
 constexpr std::size_t queueLimit = 8192; // messages of one stream
 
-enum class LinkOperation : std::uint8_t { Open, Metadata, Read, Write, Finish, Count };
-
-struct LinkTag
-{
-    PeerLink *link = nullptr;
-    LinkOperation operation = LinkOperation::Open;
-};
-
-} // namespace
-
-// One stream, opened by this instance (with an address) or by a peer.
-struct PeerLink
-{
-    std::string address; // empty if the peer opened it
-    InstanceId peer = {};
-    std::array<LinkTag, static_cast<std::size_t>(LinkOperation::Count)> tags;
-    std::size_t pending = 0; // operations that gRPC has not completed
-    bool open = false;
-    bool failed = false;
-    bool finishing = false;
-    bool writing = false;
-    std::optional<TimePoint> unansweredSince; // the first heartbeat without a reply
-    std::deque<PeerPayload> waiting;
-    wire::PeerMessage read;
-    wire::PeerMessage written;
-
-    std::shared_ptr<grpc::Channel> channel;
-    std::unique_ptr<wire::Peer::Stub> stub;
-    std::unique_ptr<grpc::ClientContext> clientContext;
-    std::unique_ptr<grpc::ClientAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>> up;
-    std::unique_ptr<grpc::ServerContext> serverContext;
-    std::unique_ptr<grpc::ServerAsyncReaderWriter<wire::PeerMessage, wire::PeerMessage>> down;
-    grpc::Status status;
-};
-
-namespace {
-
 auto isOutgoing(const PeerLink &link) -> bool
 {
     return link.clientContext != nullptr;
