--- a/runtime/log.cpp
+++ b/runtime/log.cpp
@@ -140,6 +140,11 @@
 
 auto severityFromString(std::string_view name) -> Severity
 {
+    // The settings also know the outermost levels of other programs.
+    if (name == "trace")
+        return Severity::Debug;
+    if (name == "fatal")
+        return Severity::Error;
     for (const auto severity :
          {Severity::Debug, Severity::Info, Severity::Warning, Severity::Error}) {
         if (toString(severity) == name)
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -11,6 +11,8 @@
 
 // Child processes and HTTP calls for tests.
 
+struct _SoupSession;
+
 namespace crocusreach::tests {
 
 // A child process that is killed and reaped when the object goes.
