--- a/runtime/adminserver.h
+++ b/runtime/adminserver.h
@@ -1,18 +1,22 @@
 #pragma once
 
+#include "adminanswers.h"
 #include "adminroutes.h"
 #include "admintask.h"
 #include "core/administration.h"
+#include "gobject.h"
 #include "mailbox.h"
 #include "objectapi.h"
 
 #include <libsoup/soup.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -21,41 +25,36 @@
 
 namespace crocusreach {
 
-struct ObjectUnref
-{
-    auto operator()(gpointer object) const -> void { g_object_unref(object); }
-};
-
-template <typename Object>
-using ObjectPtr = std::unique_ptr<Object, ObjectUnref>;
-
 // Number of one question to another task. A reply to a question that was given up is ignored.
 enum class QuestionId : std::uint64_t {};
 
-template <typename Answer>
+template <typename Content>
 struct Answered
 {
     QuestionId question = {};
-    Answer answer;
+    Content content;
+};
+
+struct MetricsText
+{
+    std::string text;
 };
 
-using MetricsText = std::string;
-using AdminMessage
-        = std::variant<ViewChanged, Answered<ObjectReply>, Answered<std::vector<LeafStatus>>,
-                       Answered<ExplainAnswer>, Answered<MetricsText>>;
+using AdminAnswer = std::variant<ObjectReply, std::vector<LeafStatus>, ExplainAnswer, MetricsText>;
+using AdminMessage = std::variant<ViewChanged, Answered<AdminAnswer>>;
+using AdminMailbox = Mailbox<AdminMessage>;
 
-// A request that waits for the answer of another task.
+// A request of an operator.
 struct AdminRequest
 {
     ObjectPtr<SoupServerMessage> message;
     AdminRoute route;
     std::string author;
     std::string body;
-    std::map<std::string, std::string, std::less<>> query;
-    TimePoint waitsUntil = {};
-    // Set for the calls that change something.
-    std::optional<ChangeState> change;
-    ObjectOperation operation = ObjectOperation::Get; // of the store call under way
+    QueryFields query;
+    std::optional<ChangeState> change; // of the calls that change something
+    ObjectOperation storeCall = ObjectOperation::Get; // the one under way
+    TimePoint waitsUntil = {}; // for the answer of another task
 };
 
 class AdminServer
@@ -66,41 +65,42 @@
     auto operator=(const AdminServer &) -> AdminServer & = delete;
     ~AdminServer();
 
-    // Returns the address that the listener has.
-    auto listen() -> Result<std::string>;
-    auto inbox() const -> const std::shared_ptr<Mailbox<AdminMessage>> & { return this->mailbox; }
+    auto listen(std::string_view address) -> Result<std::string>;
+    // Shared with the replies of other tasks, which may come after the server has gone.
+    auto inbox() const -> const std::shared_ptr<AdminMailbox> & { return this->mailbox; }
 
 private:
-    static auto handleEarly(SoupServer *server, SoupServerMessage *message, const char *path,
-                            GHashTable *query, gpointer data) -> void;
-    static auto handleRequest(SoupServer *server, SoupServerMessage *message, const char *path,
-                              GHashTable *query, gpointer data) -> void;
+    static auto onEarly(SoupServer *server, SoupServerMessage *message, const char *path,
+                        GHashTable *query, gpointer data) -> void;
+    static auto onRequest(SoupServer *server, SoupServerMessage *message, const char *path,
+                          GHashTable *query, gpointer data) -> void;
 
     auto admit(SoupServerMessage *message, std::string_view path) -> void;
-    auto begin(AdminRequest request) -> void;
-    auto beginChange(AdminRequest request) -> void;
-    auto handleMessage(AdminMessage &&message) -> void;
-    auto handleAnswer(ObjectReply &&reply, AdminRequest request) -> void;
-    auto handleAnswer(std::vector<LeafStatus> &&rows, AdminRequest request) -> void;
-    auto handleAnswer(ExplainAnswer &&answer, AdminRequest request) -> void;
-    auto handleAnswer(MetricsText &&text, AdminRequest request) -> void;
-    auto answerRead(const Configuration &configuration, AdminRequest request) -> void;
-    auto answerSheet(const Configuration &configuration, const AdminRequest &request) -> void;
-    auto answerDifference(const Configuration &configuration, const AdminRequest &request) -> void;
-
-    // Hands the actions of a change to the store, or its result to the operator.
-    auto perform(AdministrationActions actions, AdminRequest request) -> void;
-    auto callStore(ObjectCall call, AdminRequest request) -> void;
-    auto ask(AdminRequest request, Duration timeout) -> QuestionId;
+    auto begin(AdminRequest &&request) -> void;
+    auto beginChange(AdminRequest &&request) -> void;
+    auto beginStatus(AdminRequest &&request) -> void;
+
+    auto take(AdminMessage &&message) -> void;
+    auto finish(AdminRequest &&request, ObjectReply &&reply) -> void;
+    auto finish(AdminRequest &&request, std::vector<LeafStatus> &&rows) -> void;
+    auto finish(AdminRequest &&request, ExplainAnswer &&answer) -> void;
+    auto finish(AdminRequest &&request, MetricsText &&metrics) -> void;
+
+    // Hands the last action of a change to the store, or its result to the operator.
+    auto perform(AdminRequest &&request, AdministrationActions &&actions) -> void;
+    auto callStore(AdminRequest &&request, ObjectCall &&call) -> void;
+
+    // Keeps the request until an answer comes. The answer goes to the function returned.
+    auto ask(AdminRequest &&request, Duration timeout) -> std::function<auto(AdminAnswer &&)->void>;
     auto giveUpQuestions() -> void;
     auto armTimer() -> void;
 
     AdminSettings settings;
     AdminPorts ports;
     ObjectPtr<SoupServer> server;
-    std::shared_ptr<Mailbox<AdminMessage>> mailbox;
+    std::shared_ptr<AdminMailbox> mailbox;
     WakeTimer timer;
-    ClusterViewPtr view;
+    ClusterViewPtr view; // null until the first one
     std::map<QuestionId, AdminRequest> waiting;
     std::uint64_t questions = 0;
 };
--- a/runtime/admintask.h
+++ b/runtime/admintask.h
@@ -10,7 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <variant>
+#include <string_view>
 #include <vector>
 
 // The task that serves operators: administration API, metrics and health (docs/protocols.md).
@@ -19,7 +19,6 @@
 
 struct AdminSettings
 {
-    std::string address; // IP:port of the listener; port 0 lets the kernel choose
     std::vector<AdminToken> tokens; // none: every call that needs a token is refused
     std::string instance;
     std::string version; // of the program
@@ -65,26 +64,25 @@
 class AdminTask
 {
 public:
-    // Starts the thread and the listener. Fails with Step::Administration and the address as peer.
-    static auto start(AdminSettings settings, AdminPorts ports)
-            -> Result<std::unique_ptr<AdminTask>>;
-
+    AdminTask(AdminSettings settings, AdminPorts ports);
     AdminTask(const AdminTask &) = delete;
     auto operator=(const AdminTask &) -> AdminTask & = delete;
     ~AdminTask();
 
-    // IP:port that the listener has.
-    auto address() const -> std::string;
+    // Opens the listener at IP:port; port 0 lets the kernel choose. Returns the address that it
+    // has. Fails with Step::Administration and the address as peer.
+    auto listen(std::string_view address) -> Result<std::string>;
 
     // Any thread may post the newest view. Until the first one, the health page answers 503.
     auto post(ViewChanged message) -> void;
 
-private:
-    AdminTask();
+    // Ends the thread. Requests that wait get no answer.
+    auto stop() -> void;
 
+private:
     MainThread thread;
-    std::unique_ptr<AdminServer> server; // lives in the thread
-    std::string listenerAddress;
+    std::unique_ptr<AdminServer> server; // used in the thread only
+    std::function<auto(ViewChanged &&)->void> postView;
 };
 
 } // namespace crocusreach
--- a/runtime/targetreply.cpp
+++ b/runtime/targetreply.cpp
@@ -137,8 +137,8 @@
     auto scalar(bool allowed) -> bool
     {
         // Key, score and body must have their types; a result must be an object.
-        const auto typed = this->member == "key" || this->member == "score"
-                || this->member == "body";
+        const auto typed
+                = this->member == "key" || this->member == "score" || this->member == "body";
         if (this->inResults && (this->depth == 2 || (this->isRowMember() && typed)))
             this->valid = this->valid && allowed;
         return this->valid;
--- a/runtime/targettask.cpp
+++ b/runtime/targettask.cpp
@@ -44,8 +44,8 @@
 
 auto setHeaders(SoupMessageHeaders *headers, const TargetSend &request) -> void
 {
-    const auto left = std::chrono::floor<std::chrono::milliseconds>(request.deadline
-                                                                    - decisionNow());
+    const auto left
+            = std::chrono::floor<std::chrono::milliseconds>(request.deadline - decisionNow());
     const auto deadline = (wallNow() + left).time_since_epoch().count();
     setNumber(headers, "X-Deadline-Unix-Ms", deadline);
     setNumber(headers, "X-Index-Version", static_cast<std::int64_t>(number(request.version)));
@@ -62,8 +62,8 @@
     auto holder = std::make_unique<Holder>(body);
     const auto &text = **holder;
     const auto freeHolder = [](gpointer data) { delete static_cast<Holder *>(data); };
-    return BytesPtr(g_bytes_new_with_free_func(text.data(), text.size(), freeHolder,
-                                               holder.release()));
+    return BytesPtr(
+            g_bytes_new_with_free_func(text.data(), text.size(), freeHolder, holder.release()));
 }
 
 } // namespace
@@ -236,8 +236,8 @@
 {
     auto &exchange = *static_cast<Exchange *>(data);
     GError *raised = nullptr;
-    const auto body = BytesPtr(
-            soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
+    const auto body
+            = BytesPtr(soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
     const auto error = ErrorPtr(raised);
     g_signal_handlers_disconnect_by_data(exchange.message.get(), &exchange);
     exchange.task->complete(exchange, body.get(), error.get());
@@ -258,8 +258,8 @@
         const auto otherLayout = number(reply.layout) != 0 && reply.layout != request.layout;
         if (reply.reason == Reason::VersionNotServed && otherLayout)
             reply.reason = Reason::LayoutNotServed;
-        reply.connectionOpen = soup_message_is_keepalive(message) != FALSE
-                && !exchange.closeConnection;
+        reply.connectionOpen
+                = soup_message_is_keepalive(message) != FALSE && !exchange.closeConnection;
     } else {
         reply.outcome = exchange.sent ? Outcome::Unknown : Outcome::NotRun;
         const auto lost = exchange.sent || (exchange.connectionRefused && !request.mayConnect);
@@ -276,8 +276,7 @@
 
 auto TargetTask::release(const Exchange &exchange, bool connectionOpen) -> void
 {
-    const auto found = this->connections.find(
-            {exchange.request.leaf, exchange.request.connection});
+    const auto found = this->connections.find({exchange.request.leaf, exchange.request.connection});
     if (found == this->connections.end() || found->second.session != exchange.session)
         return;
     found->second.busy = false;
@@ -291,8 +290,8 @@
 {
     const auto probe = std::unique_ptr<Probe>(static_cast<Probe *>(data));
     GError *raised = nullptr;
-    const auto body = BytesPtr(
-            soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
+    const auto body
+            = BytesPtr(soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
     const auto error = ErrorPtr(raised);
     auto &task = *probe->task;
     --task.probesRunning;
@@ -306,8 +305,8 @@
     }
     if (task.stopping)
         return;
-    task.outlet(ProbeReply{probe->leaf, error == nullptr, std::move(headers.startId),
-                           headers.state, headers.load});
+    task.outlet(ProbeReply{probe->leaf, error == nullptr, std::move(headers.startId), headers.state,
+                           headers.load});
 }
 
 } // namespace crocusreach
