--- a/core/limiter.cpp
+++ b/core/limiter.cpp
@@ -37,10 +37,7 @@
 
 auto entriesBefore(const WaitingQueue &queue, TimePoint deadline) -> std::size_t
 {
-    auto position = positionOf(queue.entries, deadline);
-    while (position != queue.entries.end() && position->deadline == deadline)
-        ++position;
-    return static_cast<std::size_t>(queue.entries.end() - position);
+    return static_cast<std::size_t>(queue.entries.end() - positionOf(queue.entries, deadline));
 }
 
 auto refusalByDeadline(const LoadEstimate &load, TimePoint deadline, TimePoint now) -> Reason
--- a/core/limiter.h
+++ b/core/limiter.h
@@ -26,7 +26,7 @@
 // Removes the entry; false if it isn't waiting.
 auto dequeue(WaitingQueue &queue, WaitingEntry entry) -> bool;
 
-// Number of entries with an earlier deadline.
+// Number of entries that are sent before a new one with this deadline.
 auto entriesBefore(const WaitingQueue &queue, TimePoint deadline) -> std::size_t;
 
 // What decides whether one more request can be served in time.
--- a/core/timers.cpp
+++ b/core/timers.cpp
@@ -83,10 +83,16 @@
 // Moves timers that lay beyond the wheel's span when they were armed.
 auto rearmAll(TimerWheel &wheel, std::uint32_t bucket) -> void
 {
-    while (wheel.heads[bucket] != none) {
-        const auto index = wheel.heads[bucket];
-        unlink(wheel, index);
-        arm(wheel, index, wheel.nodes[index].due);
+    // The list is taken off first, because a timer may return to the same bucket, a turn later.
+    auto index = wheel.heads[bucket];
+    wheel.heads[bucket] = none;
+    wheel.occupied[bucket / 64] &= ~(std::uint64_t(1) << (bucket % 64));
+    while (index != none) {
+        auto &node = wheel.nodes[index];
+        const auto next = node.next;
+        node.armed = false;
+        arm(wheel, index, node.due);
+        index = next;
     }
 }
 
--- /dev/null
+++ b/tests/core_dispatch.cpp
@@ -0,0 +1,1036 @@
+#include <catch2/catch.hpp>
+
+#include "holderworld.h"
+
+using namespace crocusreach;
+using namespace crocusreach::test;
+
+namespace {
+
+constexpr auto shareSize = ShareSize{4, 2, 10};
+
+auto oneLeafWorld() -> HolderWorld
+{
+    return makeWorld({makeLeaf("leaf-1", "muar-a")}, shareSize);
+}
+
+auto leafOf(const HolderWorld &world) -> const Leaf &
+{
+    return world.configuration.services[0].leafs[0];
+}
+
+auto giveRequests(HolderWorld &world, int count, Duration time = 1s) -> void
+{
+    for (auto index = 0; index < count; ++index)
+        give(world, makeRequest(world, leafOf(world), time));
+}
+
+} // namespace
+
+SCENARIO("a target in cold start gets its share of cold slots, then more")
+{
+    GIVEN("a leaf of which nothing is known")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        WHEN("five requests arrive")
+        {
+            giveRequests(world, 5);
+            const auto sends = take<TargetSend>(world);
+            // Guards against a full load on a target that may have just started.
+            THEN("two are sent, on two connections that may be opened")
+            {
+                REQUIRE(sends.size() == 2);
+                CHECK(sends[0].mayConnect);
+                CHECK(sends[1].mayConnect);
+                CHECK(sends[0].connection != sends[1].connection);
+                CHECK(statusOf(world, leaf).waiting == 3);
+                AND_WHEN("the first is answered")
+                {
+                    give(world, makeReply(sends[0], "start-1"));
+                    const auto next = take<TargetSend>(world);
+                    THEN("the next request goes over the verified connection")
+                    {
+                        REQUIRE(next.size() == 1);
+                        CHECK(next[0].connection == sends[0].connection);
+                        CHECK_FALSE(next[0].mayConnect);
+                    }
+                }
+            }
+        }
+        WHEN("eight requests were served in less than a ramp step")
+        {
+            for (auto count = 0; count < 8; ++count)
+                serveOne(world, leaf, "start-1");
+            THEN("the ramp stays")
+            {
+                CHECK(statusOf(world, leaf).allowed == 2);
+            }
+            AND_WHEN("the step is over")
+            {
+                world.now += 2s;
+                serveOne(world, leaf, "start-1");
+                THEN("the allowed concurrency doubles")
+                {
+                    CHECK(statusOf(world, leaf).allowed == 4);
+                    CHECK_FALSE(statusOf(world, leaf).cold);
+                }
+                AND_WHEN("the target sheds")
+                {
+                    giveRequests(world, 1);
+                    auto shed = makeReply(take<TargetSend>(world).at(0), "start-1");
+                    shed.outcome = Outcome::NotRun;
+                    shed.reason = Reason::TargetShed;
+                    take<LeafReplyTo>(world);
+                    give(world, shed);
+                    THEN("the concurrency halves and the reply says not run")
+                    {
+                        CHECK(statusOf(world, leaf).allowed == 2);
+                        const auto replies = takeReplies(world);
+                        REQUIRE(replies.size() == 1);
+                        CHECK(replies[0].outcome == Outcome::NotRun);
+                        CHECK(replies[0].reason == Reason::TargetShed);
+                    }
+                }
+            }
+        }
+        WHEN("the target keeps saying that it is cold")
+        {
+            for (auto count = 0; count < 40; ++count) {
+                give(world, makeRequest(world, leaf, 1s));
+                auto reply = makeReply(take<TargetSend>(world).at(0), "start-1");
+                reply.state = TargetState::Cold;
+                give(world, reply);
+                world.now += 500ms;
+            }
+            THEN("the ramp stays at its first step")
+            {
+                CHECK(statusOf(world, leaf).allowed == 2);
+            }
+        }
+    }
+    GIVEN("a warm leaf")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        WHEN("many requests arrive")
+        {
+            giveRequests(world, 9);
+            const auto sends = take<TargetSend>(world);
+            THEN("each slot is used, on verified connections of their own")
+            {
+                REQUIRE(sends.size() == 4);
+                CHECK(std::ranges::none_of(sends, &TargetSend::mayConnect));
+            }
+            AND_WHEN("a reply shows another start identity")
+            {
+                give(world, makeReply(sends[0], "start-2"));
+                // The three others died with the first process and don't load the second one.
+                THEN("the leaf is cold, and two requests of the queue are sent at most")
+                {
+                    const auto next = take<TargetSend>(world);
+                    CHECK(statusOf(world, leaf).cold);
+                    CHECK(statusOf(world, leaf).allowed == 2);
+                    CHECK(next.size() == 1);
+                }
+            }
+        }
+        WHEN("a connection is lost while its request runs")
+        {
+            giveRequests(world, 1);
+            give(world, makeFailure(take<TargetSend>(world).at(0), Outcome::Unknown,
+                                    Reason::ConnectionLost));
+            THEN("the outcome is unknown and the next requests count as cold")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].outcome == Outcome::Unknown);
+                CHECK(replies[0].reason == Reason::ConnectionLost);
+                giveRequests(world, 9);
+                const auto sends = take<TargetSend>(world);
+                CHECK(sends.size() == 2);
+                CHECK(std::ranges::all_of(sends, &TargetSend::mayConnect));
+            }
+        }
+        WHEN("a verified connection turns out to be closed before a request was written")
+        {
+            giveRequests(world, 1);
+            const auto send = take<TargetSend>(world).at(0);
+            give(world, makeFailure(send, Outcome::NotRun, Reason::ConnectionLost));
+            const auto again = take<TargetSend>(world);
+            THEN("the request is sent once more, on a new connection")
+            {
+                CHECK(takeReplies(world).empty());
+                REQUIRE(again.size() == 1);
+                CHECK(again[0].mayConnect);
+                CHECK(again[0].requestId == send.requestId);
+                CHECK(again[0].send != send.send);
+                AND_WHEN("that fails too")
+                {
+                    give(world, makeFailure(again[0], Outcome::NotRun, Reason::ConnectFailed));
+                    THEN("it is answered as not run")
+                    {
+                        const auto replies = takeReplies(world);
+                        REQUIRE(replies.size() == 1);
+                        CHECK(replies[0].outcome == Outcome::NotRun);
+                        CHECK(replies[0].reason == Reason::ConnectFailed);
+                        CHECK(replies[0].step == Step::Connect);
+                        CHECK(take<TargetSend>(world).empty());
+                    }
+                }
+            }
+        }
+        WHEN("a late reply shows an identity that was replaced")
+        {
+            giveRequests(world, 2);
+            const auto sends = take<TargetSend>(world);
+            give(world, makeReply(sends[0], "start-2"));
+            give(world, makeReply(sends[1], "start-1"));
+            serveOne(world, leaf, "start-2");
+            THEN("it isn't taken for a restart")
+            {
+                giveRequests(world, 1);
+                CHECK_FALSE(take<TargetSend>(world).at(0).mayConnect);
+            }
+        }
+    }
+}
+
+SCENARIO("a share's queue is bounded and ordered by deadline")
+{
+    GIVEN("a leaf with both cold slots in use")
+    {
+        auto settings = DispatchSettings();
+        settings.queueCapacity = 3;
+        auto world = makeWorld({makeLeaf("leaf-1", "muar-a")}, shareSize, settings);
+        const auto leaf = leafOf(world);
+        giveRequests(world, 2);
+        const auto sends = take<TargetSend>(world);
+        WHEN("requests wait and one more has an earlier deadline")
+        {
+            giveRequests(world, 2, 900ms);
+            auto urgent = makeRequest(world, leaf, 100ms);
+            give(world, urgent);
+            give(world, makeReply(sends[0], "start-1"));
+            THEN("the earliest deadline is sent first")
+            {
+                CHECK(take<TargetSend>(world).at(0).requestId == urgent.requestId);
+            }
+        }
+        WHEN("four more arrive")
+        {
+            giveRequests(world, 4);
+            THEN("the fourth is refused as not run")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::QueueFull);
+                CHECK(replies[0].outcome == Outcome::NotRun);
+                CHECK(replies[0].step == Step::Queue);
+                CHECK(replies[0].peer == "one");
+                CHECK(replies[0].queueLength == 3);
+            }
+        }
+        WHEN("a waiting request's deadline passes")
+        {
+            giveRequests(world, 1, 20ms);
+            const auto deadline = world.now + 20ms;
+            CHECK(nextWake(*world.state) <= deadline);
+            pass(world, 20ms);
+            THEN("it is answered as not run by then")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::DeadlineExceeded);
+                CHECK(replies[0].outcome == Outcome::NotRun);
+                CHECK(requestsInFlight(*world.state) == 2);
+            }
+        }
+        WHEN("a waiting request is cancelled")
+        {
+            auto request = makeRequest(world, leaf, 1s);
+            give(world, request);
+            give(world, CancelLeafRequest{request.origin, request.attempt});
+            THEN("it is answered as not run, and never sent")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::Cancelled);
+                CHECK(replies[0].outcome == Outcome::NotRun);
+                give(world, makeReply(sends[0], "start-1"));
+                CHECK(take<TargetSend>(world).empty());
+                // Guards against a cancelled request that runs because its message arrives twice.
+                AND_WHEN("a duplicate of it arrives")
+                {
+                    takeReplies(world);
+                    give(world, request);
+                    THEN("it is neither sent nor answered again")
+                    {
+                        CHECK(world.actions.empty());
+                    }
+                }
+            }
+        }
+        WHEN("a running request is cancelled")
+        {
+            give(world, CancelLeafRequest{instanceId("two"), AttemptId(1)});
+            giveRequests(world, 1);
+            THEN("the target is told, and the slot is free once the send has ended")
+            {
+                const auto cancels = take<TargetCancel>(world);
+                REQUIRE(cancels.size() == 1);
+                CHECK(cancels[0].send == sends[0].send);
+                CHECK_FALSE(cancels[0].closeConnection);
+                CHECK(take<TargetSend>(world).empty());
+                give(world, makeFailure(sends[0], Outcome::Unknown, Reason::Cancelled));
+                CHECK(take<TargetSend>(world).size() == 1);
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::Cancelled);
+                CHECK(replies[0].outcome == Outcome::Unknown);
+            }
+        }
+        WHEN("a request arrives twice while it runs")
+        {
+            auto request = makeRequest(world, leaf, 1s);
+            give(world, makeReply(sends[0], "start-1"));
+            world.actions.clear();
+            give(world, request);
+            give(world, request);
+            THEN("it is sent once")
+            {
+                CHECK(take<TargetSend>(world).size() == 1);
+                CHECK(takeReplies(world).empty());
+            }
+        }
+    }
+    GIVEN("a leaf whose service times are known to be 10 ms")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        for (auto count = 0; count < 40; ++count)
+            serveOne(world, leaf, "start-1", 10ms);
+        world.actions.clear();
+        WHEN("a request could never be served in time")
+        {
+            giveRequests(world, 1);
+            giveRequests(world, 1, 3ms);
+            THEN("it is shed at once")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::DeadlineTooShort);
+            }
+        }
+        WHEN("the queue is too long for a request's deadline")
+        {
+            giveRequests(world, 30, 100ms);
+            THEN("it is shed as overloaded")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE_FALSE(replies.empty());
+                CHECK(std::ranges::all_of(replies, [](const LeafReply &reply) {
+                    return reply.reason == Reason::Overloaded && reply.outcome == Outcome::NotRun;
+                }));
+            }
+        }
+        WHEN("the leaf is idle and a request is shorter than its service times")
+        {
+            giveRequests(world, 1, 3ms);
+            // Guards against refusing for ever on the ground of old service times.
+            THEN("it is sent all the same")
+            {
+                CHECK(take<TargetSend>(world).size() == 1);
+            }
+        }
+    }
+}
+
+SCENARIO("nothing is sent beyond the end of the lease")
+{
+    GIVEN("a holder whose lease ends in 100 ms")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        world.view.leaseEnd = world.now + 100ms;
+        publish(world);
+        WHEN("a request has a later deadline")
+        {
+            giveRequests(world, 1, 1s);
+            THEN("the deadline that is sent is the end of the lease")
+            {
+                const auto sends = take<TargetSend>(world);
+                REQUIRE(sends.size() == 1);
+                CHECK(sends[0].deadline == world.view.leaseEnd);
+                AND_WHEN("the lease ends without a reply")
+                {
+                    pass(world, 100ms);
+                    THEN("the outcome is unknown")
+                    {
+                        const auto replies = takeReplies(world);
+                        REQUIRE(replies.size() == 1);
+                        CHECK(replies[0].reason == Reason::NoLease);
+                        CHECK(replies[0].outcome == Outcome::Unknown);
+                    }
+                }
+            }
+        }
+        WHEN("requests wait when the lease ends")
+        {
+            giveRequests(world, 3, 1s);
+            pass(world, 100ms);
+            THEN("they are refused as not run")
+            {
+                const auto replies = takeReplies(world);
+                const auto waiting
+                        = std::ranges::find(replies, Outcome::NotRun, &LeafReply::outcome);
+                REQUIRE(waiting != replies.end());
+                CHECK(waiting->reason == Reason::NoLease);
+            }
+        }
+        WHEN("the lease is renewed while requests wait")
+        {
+            giveRequests(world, 3, 1s);
+            pass(world, 50ms);
+            world.view.leaseEnd = world.now + 10s;
+            publish(world);
+            pass(world, 200ms);
+            THEN("the waiting one isn't refused")
+            {
+                CHECK(statusOf(world, leaf).waiting == 1);
+            }
+        }
+        WHEN("the lease is over")
+        {
+            pass(world, 100ms);
+            world.actions.clear();
+            giveRequests(world, 1, 1s);
+            THEN("a request is refused as not run")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::NoLease);
+                CHECK(replies[0].outcome == Outcome::NotRun);
+                CHECK(take<TargetSend>(world).empty());
+            }
+        }
+    }
+}
+
+SCENARIO("a leaving target gets no new work")
+{
+    GIVEN("a warm leaf with running and waiting requests")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        giveRequests(world, 6);
+        const auto sends = take<TargetSend>(world);
+        const auto checkRefused = [&] {
+            const auto replies = takeReplies(world);
+            CHECK(std::ranges::count(replies, Reason::TargetLeaving, &LeafReply::reason) == 2);
+            CHECK(statusOf(world, leaf).leaving);
+            giveRequests(world, 1);
+            CHECK(take<TargetSend>(world).empty());
+            CHECK(takeReplies(world).at(0).reason == Reason::TargetLeaving);
+        };
+        const auto checkEligible = [&] {
+            giveRequests(world, 1);
+            CHECK(take<TargetSend>(world).size() == 1);
+        };
+        WHEN("a reply says draining")
+        {
+            auto reply = makeReply(sends[0], "start-1");
+            reply.state = TargetState::Draining;
+            give(world, reply);
+            THEN("waiting and new requests are refused, and running ones finish")
+            {
+                checkRefused();
+                CHECK(take<TargetCancel>(world).empty());
+                give(world, makeReply(sends[1], "start-1"));
+                CHECK(takeReplies(world).at(0).outcome == Outcome::Done);
+            }
+            AND_WHEN("its health page still says warm")
+            {
+                pass(world, 1s);
+                give(world, ProbeReply{leaf.id, true, "start-1", TargetState::Warm, 0});
+                THEN("that changes nothing")
+                {
+                    world.actions.clear();
+                    giveRequests(world, 1);
+                    CHECK(take<TargetSend>(world).empty());
+                }
+            }
+            AND_WHEN("its health page shows a new start")
+            {
+                for (const auto &send : sends)
+                    give(world, makeReply(send, "start-1"));
+                pass(world, 3s);
+                REQUIRE_FALSE(take<TargetProbe>(world).empty());
+                give(world, ProbeReply{leaf.id, true, "start-2", TargetState::Warm, 0});
+                world.actions.clear();
+                THEN("it gets work again, in cold start")
+                {
+                    giveRequests(world, 4);
+                    CHECK(take<TargetSend>(world).size() == 2);
+                }
+            }
+        }
+        WHEN("the health page says draining")
+        {
+            pass(world, 1s);
+            world.now += 1s;
+            give(world, Tick());
+            world.actions.clear();
+            giveRequests(world, 6);
+            world.actions.clear();
+            give(world, ProbeReply{leaf.id, true, "start-1", TargetState::Draining, 0});
+            THEN("new requests are refused")
+            {
+                CHECK(statusOf(world, leaf).leaving);
+                CHECK(statusOf(world, leaf).waiting == 0);
+            }
+        }
+        WHEN("the instance list shows it leaving")
+        {
+            world.view.listing[leaf.id] = TargetListing::Leaving;
+            publish(world);
+            THEN("waiting and new requests are refused")
+            {
+                checkRefused();
+            }
+            AND_WHEN("the list shows it live again")
+            {
+                for (const auto &send : sends)
+                    give(world, makeReply(send, "start-1"));
+                world.view.listing[leaf.id] = TargetListing::Live;
+                publish(world);
+                world.actions.clear();
+                THEN("it gets work again")
+                {
+                    checkEligible();
+                }
+            }
+        }
+        WHEN("the instance list no longer shows it")
+        {
+            world.view.listing[leaf.id] = TargetListing::Live;
+            publish(world);
+            world.view.listing.erase(leaf.id);
+            publish(world);
+            THEN("it counts as gone")
+            {
+                checkRefused();
+            }
+        }
+    }
+}
+
+SCENARIO("operators take a failure domain, a service or the instance out")
+{
+    GIVEN("a warm leaf with running and waiting requests")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        giveRequests(world, 6);
+        const auto sends = take<TargetSend>(world);
+        const auto checkOut = [&](Reason reason) {
+            auto replies = takeReplies(world);
+            REQUIRE(replies.size() == 2);
+            CHECK(replies[0].reason == reason);
+            CHECK(replies[0].outcome == Outcome::NotRun);
+            CHECK(take<TargetCancel>(world).empty());
+            give(world, makeReply(sends[0], "start-1"));
+            replies = takeReplies(world);
+            REQUIRE(replies.size() == 1);
+            CHECK(replies[0].outcome == Outcome::Done);
+            giveRequests(world, 1);
+            replies = takeReplies(world);
+            REQUIRE(replies.size() == 1);
+            CHECK(replies[0].reason == reason);
+            CHECK(take<TargetSend>(world).empty());
+        };
+        WHEN("the failure domain of the leaf is out")
+        {
+            world.configuration.domains[0].decision.state = DesiredState::Out;
+            publish(world);
+            THEN("only the running requests go on")
+            {
+                checkOut(Reason::DomainOut);
+                AND_WHEN("it returns")
+                {
+                    for (const auto &send : sends)
+                        give(world, makeReply(send, "start-1"));
+                    world.configuration.domains[0].decision.state = DesiredState::In;
+                    publish(world);
+                    world.actions.clear();
+                    giveRequests(world, 9);
+                    THEN("the leaf is in cold start, though its identity is the same")
+                    {
+                        CHECK(take<TargetSend>(world).size() == 2);
+                        CHECK(statusOf(world, leaf).cold);
+                    }
+                }
+            }
+        }
+        WHEN("the service is out")
+        {
+            world.configuration.services[0].decision.state = DesiredState::Out;
+            publish(world);
+            THEN("only the running requests go on")
+            {
+                checkOut(Reason::ServiceOut);
+            }
+        }
+        WHEN("this instance is out")
+        {
+            world.configuration.instances.push_back({instanceId("one"), "one", {}});
+            world.configuration.instances[0].decision.state = DesiredState::Out;
+            publish(world);
+            THEN("only the running requests go on")
+            {
+                checkOut(Reason::InstanceOut);
+            }
+        }
+    }
+}
+
+SCENARIO("a connection goes silent")
+{
+    GIVEN("a warm leaf that answers in 2 ms, and a request on an established connection")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        giveRequests(world, 1, 1s);
+        const auto send = take<TargetSend>(world).at(0);
+        const auto sentAt = world.now;
+        WHEN("no reply comes")
+        {
+            pass(world, 49ms);
+            CHECK(takeReplies(world).empty());
+            pass(world, 1ms);
+            THEN("it is abandoned after 50 ms, its connection is closed and a probe is sent")
+            {
+                const auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 1);
+                CHECK(replies[0].reason == Reason::ConnectionSilent);
+                CHECK(replies[0].outcome == Outcome::Unknown);
+                CHECK(replies[0].timings.target == 50ms);
+                const auto cancels = take<TargetCancel>(world);
+                REQUIRE(cancels.size() == 1);
+                CHECK(cancels[0].closeConnection);
+                const auto probes = take<TargetProbe>(world);
+                REQUIRE(probes.size() == 1);
+                CHECK(probes[0].newConnection);
+                AND_WHEN("the runtime reports the end of the send, and more requests arrive")
+                {
+                    give(world, makeFailure(send, Outcome::Unknown, Reason::Cancelled));
+                    giveRequests(world, 9, 1s);
+                    THEN("its slot stays counted, as the target may still run it")
+                    {
+                        CHECK(take<TargetSend>(world).size() == 3);
+                        CHECK(statusOf(world, leaf).running == 4);
+                        CHECK(takeReplies(world).empty());
+                    }
+                    AND_WHEN("its deadline passes")
+                    {
+                        take<TargetSend>(world);
+                        world.now = sentAt + 1s;
+                        give(world, Tick());
+                        THEN("the slot is free")
+                        {
+                            CHECK(statusOf(world, leaf).running <= 4);
+                            CHECK(take<TargetSend>(world).size() == 1);
+                        }
+                    }
+                }
+                AND_WHEN("the probe is answered by the same process")
+                {
+                    give(world, ProbeReply{leaf.id, true, "start-1", TargetState::Warm, 0});
+                    THEN("the target isn't blamed")
+                    {
+                        CHECK(statusOf(world, leaf).silentConnections == 1);
+                        CHECK(statusOf(world, leaf).allowed == 4);
+                        CHECK(statusOf(world, leaf).p99 < 4ms);
+                    }
+                }
+                AND_WHEN("the probe shows another process")
+                {
+                    give(world, ProbeReply{leaf.id, true, "start-2", TargetState::Warm, 0});
+                    THEN("the leaf is cold")
+                    {
+                        CHECK(statusOf(world, leaf).allowed == 2);
+                        CHECK(statusOf(world, leaf).silentConnections == 0);
+                    }
+                }
+                AND_WHEN("the probe isn't answered")
+                {
+                    give(world, ProbeReply{leaf.id, false, "", TargetState::Unknown, 0});
+                    THEN("the leaf is treated as cold")
+                    {
+                        CHECK(statusOf(world, leaf).cold);
+                        CHECK(statusOf(world, leaf).allowed == 2);
+                    }
+                }
+            }
+        }
+    }
+    GIVEN("a target that becomes so slow that every attempt is abandoned")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        auto done = 0;
+        for (auto round = 0; round < 200; ++round) {
+            giveRequests(world, 1, 2s);
+            for (const auto &send : take<TargetSend>(world)) {
+                pass(world, 120ms);
+                const auto abandoned = !take<TargetCancel>(world).empty();
+                if (abandoned) {
+                    give(world, makeFailure(send, Outcome::Unknown, Reason::Cancelled));
+                } else {
+                    auto reply = makeReply(send, "start-1");
+                    reply.elapsed = 120ms;
+                    give(world, reply);
+                    ++done;
+                }
+            }
+            pass(world, 2s);
+            world.actions.clear();
+        }
+        // Guards against quantiles that never learn of a target that became slower.
+        THEN("the wait grows until replies come again")
+        {
+            CHECK(done > 100);
+        }
+    }
+}
+
+SCENARIO("a request marked non-idempotent is sent at most once")
+{
+    GIVEN("a warm leaf with verified connections")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        auto request = makeRequest(world, leaf, 1s);
+        request.idempotent = false;
+        WHEN("such a request arrives")
+        {
+            give(world, request);
+            const auto sends = take<TargetSend>(world);
+            // A client may send a request again when a reused connection closes.
+            THEN("it gets a connection that was never used")
+            {
+                REQUIRE(sends.size() == 1);
+                CHECK(sends[0].mayConnect);
+                CHECK_FALSE(sends[0].idempotent);
+                CHECK(number(sends[0].connection) >= 4);
+                AND_WHEN("its reply is lost")
+                {
+                    give(world, makeFailure(sends[0], Outcome::NotRun, Reason::ConnectionLost));
+                    THEN("the outcome is unknown, whatever the runtime believes")
+                    {
+                        const auto replies = takeReplies(world);
+                        REQUIRE(replies.size() == 1);
+                        CHECK(replies[0].outcome == Outcome::Unknown);
+                        CHECK(take<TargetSend>(world).empty());
+                    }
+                }
+                AND_WHEN("its caller cancels it")
+                {
+                    give(world, CancelLeafRequest{request.origin, request.attempt});
+                    THEN("it goes on, so that its outcome becomes known")
+                    {
+                        CHECK(take<TargetCancel>(world).empty());
+                        give(world, makeReply(sends[0], "start-1"));
+                        CHECK(takeReplies(world).at(0).outcome == Outcome::Done);
+                    }
+                }
+                AND_WHEN("no reply comes")
+                {
+                    pass(world, 999ms);
+                    CHECK(takeReplies(world).empty());
+                    pass(world, 1ms);
+                    THEN("it is waited for until its deadline")
+                    {
+                        const auto replies = takeReplies(world);
+                        REQUIRE(replies.size() == 1);
+                        CHECK(replies[0].outcome == Outcome::Unknown);
+                        CHECK(replies[0].reason == Reason::DeadlineExceeded);
+                    }
+                }
+            }
+        }
+        WHEN("more of them arrive than there are cold slots")
+        {
+            for (auto count = 0; count < 3; ++count) {
+                request.attempt = static_cast<AttemptId>(++world.attempts);
+                give(world, request);
+            }
+            CHECK(take<TargetSend>(world).size() == 2);
+            THEN("an idempotent one with a later deadline isn't blocked by them")
+            {
+                giveRequests(world, 1, 5s);
+                const auto sends = take<TargetSend>(world);
+                REQUIRE(sends.size() == 1);
+                CHECK(sends[0].idempotent);
+            }
+        }
+        WHEN("all connections have been used")
+        {
+            for (auto count = 0; count < 30; ++count) {
+                request.attempt = static_cast<AttemptId>(++world.attempts);
+                give(world, request);
+                for (const auto &send : take<TargetSend>(world)) {
+                    CHECK(send.mayConnect);
+                    give(world, makeReply(send, "start-1"));
+                }
+            }
+            THEN("idle ones are closed to make room")
+            {
+                CHECK(takeReplies(world).size() == 30);
+                CHECK_FALSE(take<TargetClose>(world).empty());
+            }
+        }
+    }
+}
+
+SCENARIO("a new epoch takes shares away")
+{
+    GIVEN("a warm leaf with running and waiting requests")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        warm(world, leaf, "start-1");
+        giveRequests(world, 6);
+        const auto sends = take<TargetSend>(world);
+        const auto moveAway = [&](Epoch epoch) {
+            world.assignment.epoch = epoch;
+            auto &share = world.assignment.shares[0];
+            share = {leaf.id,        0,     shareSize,         instanceId("two"),
+                     Incarnation(1), epoch, instanceId("one"), Incarnation(1)};
+            world.view.held.clear();
+            publish(world);
+        };
+        WHEN("epoch 2 moves the share to another instance")
+        {
+            moveAway(Epoch(2));
+            THEN("waiting requests are refused as not run, running ones finish, then it is drained")
+            {
+                auto replies = takeReplies(world);
+                REQUIRE(replies.size() == 2);
+                CHECK(replies[0].reason == Reason::NotHolder);
+                CHECK(replies[0].outcome == Outcome::NotRun);
+                CHECK(take<TargetCancel>(world).empty());
+                for (const auto &send : sends) {
+                    CHECK(take<SharesDrained>(world).empty());
+                    give(world, makeReply(send, "start-1"));
+                }
+                CHECK(takeReplies(world).size() == 4);
+                const auto drained = take<SharesDrained>(world);
+                REQUIRE(drained.size() == 1);
+                CHECK(drained[0].epoch == Epoch(2));
+                CHECK(take<TargetClose>(world).size() == 1);
+                giveRequests(world, 1);
+                CHECK(takeReplies(world).at(0).reason == Reason::NotHolder);
+                CHECK(requestsInFlight(*world.state) == 0);
+            }
+        }
+        // The holder before this one may still use the share: it must not be reported as free.
+        WHEN("epochs passed unseen before the share moved")
+        {
+            moveAway(Epoch(4));
+            for (const auto &send : sends)
+                give(world, makeReply(send, "start-1"));
+            THEN("nothing is reported")
+            {
+                CHECK(take<SharesDrained>(world).empty());
+            }
+        }
+    }
+    GIVEN("a share that was assigned but not yet usable")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        world.assignment.shares.push_back({leaf.id, 1, shareSize, instanceId("one"), Incarnation(1),
+                                           Epoch(2), instanceId("two"), Incarnation(1)});
+        world.assignment.epoch = Epoch(2);
+        publish(world);
+        WHEN("epoch 3 moves it and the usable share away")
+        {
+            for (auto &share : world.assignment.shares) {
+                share.holder = instanceId("two");
+                share.since = Epoch(3);
+                share.formerHolder = instanceId("one");
+                share.formerIncarnation = Incarnation(1);
+            }
+            world.assignment.epoch = Epoch(3);
+            world.view.held.clear();
+            publish(world);
+            THEN("nothing is reported")
+            {
+                CHECK(take<SharesDrained>(world).empty());
+            }
+        }
+    }
+    GIVEN("both shares of a leaf held here")
+    {
+        auto world = oneLeafWorld();
+        const auto leaf = leafOf(world);
+        world.assignment.shares.push_back({leaf.id,
+                                           1,
+                                           ShareSize{2, 1, 5},
+                                           instanceId("one"),
+                                           Incarnation(1),
+                                           Epoch(1),
+                                           {},
+                                           {}});
+        world.view.held.push_back({leaf.id, 1, ShareSize{2, 1, 5}});
+        publish(world);
+        WHEN("requests arrive for one of them")
+        {
+            giveRequests(world, 9);
+            const auto sends = take<TargetSend>(world);
+            THEN("the limits of both count")
+            {
+                CHECK(sends.size() == 3);
+                CHECK(statusOf(world, leaf).slots == 6);
+                AND_WHEN("one of them is lost")
+                {
+                    world.assignment.epoch = Epoch(2);
+                    world.assignment.shares[1].holder = instanceId("two");
+                    world.assignment.shares[1].since = Epoch(2);
+                    world.assignment.shares[1].formerHolder = instanceId("one");
+                    world.assignment.shares[1].formerIncarnation = Incarnation(1);
+                    world.view.held.pop_back();
+                    publish(world);
+                    THEN("it is drained once what runs fits the other one")
+                    {
+                        CHECK(take<SharesDrained>(world).empty());
+                        give(world, makeReply(sends[0], "start-1"));
+                        CHECK(take<SharesDrained>(world).size() == 1);
+                    }
+                }
+            }
+        }
+    }
+}
+
+namespace {
+
+std::map<Invariant, int> violations;
+
+auto countViolation(Invariant invariant, std::string_view) -> void
+{
+    ++violations[invariant];
+}
+
+// Runs a story with one decision left out and returns how often the invariant was violated.
+auto violationsWith(bool DispatchMutations::*mutation, Invariant invariant,
+                    const std::function<void(HolderWorld &)> &story) -> int
+{
+    auto settings = DispatchSettings();
+    settings.queueCapacity = 8;
+    auto world = makeWorld({makeLeaf("leaf-1", "muar-a")}, shareSize, settings);
+    warm(world, leafOf(world), "start-1");
+    violations.clear();
+    const auto former = setViolationHandler(&countViolation);
+    world.state->mutations.*mutation = true;
+    story(world);
+    setViolationHandler(former);
+    return violations[invariant];
+}
+
+auto manyRequests(HolderWorld &world) -> void
+{
+    giveRequests(world, 20);
+}
+
+auto lostReply(HolderWorld &world) -> void
+{
+    auto request = makeRequest(world, leafOf(world), 1s);
+    request.idempotent = false;
+    give(world, request);
+    give(world,
+         makeFailure(take<TargetSend>(world).at(0), Outcome::NotRun, Reason::ConnectionLost));
+}
+
+} // namespace
+
+// Each mutation leaves out one decision: the assertion behind it must notice.
+SCENARIO("each invariant of the holder trips when its decision is left out")
+{
+    using Mutations = DispatchMutations;
+    GIVEN("no mutation")
+    {
+        CHECK(violationsWith(&Mutations::resendAlways, Invariant::SlotLimit, manyRequests) == 0);
+    }
+    GIVEN("slots are ignored")
+    {
+        CHECK(violationsWith(&Mutations::ignoreSlots, Invariant::SlotLimit, manyRequests) > 0);
+    }
+    GIVEN("connections are ignored")
+    {
+        const auto story = [](HolderWorld &world) {
+            world.view.held[0].size = {8, 8, 3};
+            publish(world);
+            giveRequests(world, 8);
+        };
+        CHECK(violationsWith(&Mutations::ignoreConnections, Invariant::ConnectionLimit, story) > 0);
+    }
+    GIVEN("cold slots are ignored")
+    {
+        const auto story = [](HolderWorld &world) {
+            serveOne(world, leafOf(world), "start-2");
+            giveRequests(world, 20);
+        };
+        CHECK(violationsWith(&Mutations::ignoreColdSlots, Invariant::ColdLimit, story) > 0);
+    }
+    GIVEN("the lease is ignored")
+    {
+        const auto story = [](HolderWorld &world) {
+            world.view.leaseEnd = world.now + 10ms;
+            publish(world);
+            giveRequests(world, 1);
+        };
+        CHECK(violationsWith(&Mutations::ignoreLease, Invariant::NoDispatchWithoutLease, story)
+              > 0);
+    }
+    GIVEN("the desired state is ignored")
+    {
+        const auto story = [](HolderWorld &world) {
+            world.configuration.domains[0].decision.state = DesiredState::Out;
+            publish(world);
+            giveRequests(world, 1);
+        };
+        CHECK(violationsWith(&Mutations::ignoreOut, Invariant::NoWorkToFailureDomainOut, story)
+              > 0);
+    }
+    GIVEN("leaving is ignored")
+    {
+        const auto story = [](HolderWorld &world) {
+            world.view.listing[leafOf(world).id] = TargetListing::Leaving;
+            publish(world);
+            giveRequests(world, 1);
+        };
+        CHECK(violationsWith(&Mutations::ignoreLeaving, Invariant::NoWorkToLeavingTarget, story)
+              > 0);
+    }
+    GIVEN("the capacity of the queue is ignored")
+    {
+        CHECK(violationsWith(&Mutations::ignoreQueueCapacity, Invariant::QueueBounded, manyRequests)
+              > 0);
+    }
+    GIVEN("a failure is taken for a proof that a request did not run")
+    {
+        CHECK(violationsWith(&Mutations::trustNotRun, Invariant::NotRunIsProvable, lostReply) > 0);
+    }
+    GIVEN("a lost request is sent again without a proof")
+    {
+        CHECK(violationsWith(&Mutations::resendAlways, Invariant::AtMostOnce, lostReply) > 0);
+    }
+}
