--- /dev/null
+++ b/tests/core_dispatch_parts.cpp
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+
+#include "core/attempts.h"
+#include "core/coldstart.h"
+#include "core/latency.h"
+#include "core/limiter.h"
+#include "core/timers.h"
+
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace crocusreach;
+using namespace std::chrono_literals;
+
+SCENARIO("latency quantiles follow what was observed lately")
+{
+    GIVEN("a histogram with 99 short times and one long one")
+    {
+        auto histogram = makeLatencyHistogram();
+        auto now = TimePoint(1h);
+        for (auto count = 0; count < 99; ++count)
+            record(histogram, 5ms, now);
+        record(histogram, 400ms, now);
+        THEN("the median is within one bucket of the short time, the maximum of the long one")
+        {
+            CHECK(quantile(histogram, 0.5) >= 5ms);
+            CHECK(quantile(histogram, 0.5) < 6ms);
+            CHECK(quantile(histogram, 1.0) >= 400ms);
+            CHECK(quantile(histogram, 1.0) < 480ms);
+            CHECK(summarize(histogram, now).known);
+        }
+        WHEN("minutes pass without observations")
+        {
+            now += 5min;
+            // Guards against decisions on the ground of service times of an hour ago.
+            THEN("the quantiles are no longer known")
+            {
+                CHECK_FALSE(summarize(histogram, now).known);
+            }
+        }
+        WHEN("the times change")
+        {
+            now += 2min;
+            for (auto count = 0; count < 100; ++count)
+                record(histogram, 50ms, now);
+            THEN("the median follows")
+            {
+                CHECK(summarize(histogram, now).p50 >= 50ms);
+            }
+        }
+    }
+    GIVEN("times below and above the range of the buckets")
+    {
+        auto histogram = makeLatencyHistogram();
+        record(histogram, 0us, TimePoint(1h));
+        record(histogram, 1h, TimePoint(1h));
+        THEN("they count at its ends")
+        {
+            CHECK(quantile(histogram, 0.1) <= 20us);
+            CHECK(quantile(histogram, 1.0) >= 20s);
+        }
+    }
+}
+
+SCENARIO("timers fire once, in time, whatever their distance")
+{
+    // Guards against a timer lost, fired early or fired twice, also beyond one turn of the wheel.
+    GIVEN("timers that are armed, rearmed and disarmed at random")
+    {
+        auto random = std::mt19937_64(7);
+        auto wheel = TimerWheel();
+        auto due = std::map<std::uint32_t, TimePoint>();
+        auto now = TimePoint(12h + 345us);
+        auto fired = 0;
+        for (auto round = 0; round < 20'000; ++round) {
+            const auto index = static_cast<std::uint32_t>(random() % 200);
+            if (random() % 4 == 0) {
+                disarm(wheel, index);
+                due.erase(index);
+            } else {
+                const auto range = random() % 8 == 0 ? 20'000'000 : 50'000;
+                due[index] = now + Duration(static_cast<std::int64_t>(random() % range));
+                arm(wheel, index, due[index]);
+            }
+            now += Duration(
+                    static_cast<std::int64_t>(random() % (round % 100 == 0 ? 9'000'000 : 900)));
+            const auto earliest = std::ranges::min_element(
+                    due, {}, [](const auto &entry) { return entry.second; });
+            if (earliest != due.end())
+                REQUIRE(nextDue(wheel).value() <= earliest->second);
+            while (const auto taken = takeDue(wheel, now)) {
+                REQUIRE(due.contains(*taken));
+                REQUIRE(due[*taken] <= now);
+                due.erase(*taken);
+                ++fired;
+            }
+            for (const auto &[index2, time] : due)
+                REQUIRE(time > now);
+        }
+        THEN("many fired")
+        {
+            CHECK(fired > 5'000);
+        }
+    }
+}
+
+SCENARIO("attempts are remembered for a while")
+{
+    GIVEN("an attempt that ended")
+    {
+        auto memory = AttemptMemory();
+        const auto now = TimePoint(1h);
+        const auto key = AttemptKey{InstanceId(1), AttemptId(2)};
+        CHECK(remember(memory, key, now));
+        THEN("a duplicate is noticed, another origin's attempt isn't one")
+        {
+            CHECK_FALSE(remember(memory, key, now + 4s));
+            CHECK(remember(memory, {InstanceId(2), AttemptId(2)}, now));
+        }
+        WHEN("many others arrive later")
+        {
+            for (auto count = std::uint64_t(10); count < 100'000; ++count)
+                remember(memory, {InstanceId(1), AttemptId(count)}, now + Duration(count * 1000));
+            // Guards against a memory that grows with the number of requests.
+            THEN("those that ended long ago are forgotten")
+            {
+                CHECK(memory.indexes.size() < 6'000);
+                CHECK(memory.count < 6'000);
+            }
+        }
+    }
+    GIVEN("an attempt that is still running after the time")
+    {
+        auto memory = AttemptMemory();
+        const auto key = AttemptKey{InstanceId(1), AttemptId(2)};
+        remember(memory, key, TimePoint(1h));
+        setIndex(memory, key, 5);
+        for (auto count = std::uint64_t(10); count < 100; ++count)
+            remember(memory, {InstanceId(1), AttemptId(count)}, TimePoint(1h + 60s));
+        THEN("it isn't forgotten")
+        {
+            CHECK(findIndex(memory, key) == 5);
+        }
+    }
+}
+
+SCENARIO("the ramp of a cold target")
+{
+    GIVEN("a target with one cold slot and six slots")
+    {
+        auto cold = ColdStart();
+        const auto limits = RampLimits{6, 1};
+        const auto settings = RampSettings();
+        auto now = TimePoint(1h);
+        restartRamp(cold, limits, now);
+        const auto step = [&](const RampReply &reply) {
+            for (auto count = 0; count < 8; ++count)
+                advanceRamp(cold, limits, settings, reply, now);
+            now += 2s;
+            advanceRamp(cold, limits, settings, reply, now);
+        };
+        WHEN("each step ends well")
+        {
+            THEN("the concurrency doubles up to the slots")
+            {
+                auto steps = std::vector<std::uint32_t>();
+                for (auto count = 0; count < 4; ++count) {
+                    steps.push_back(allowedRequests(cold, limits));
+                    step({TargetState::Warm, false, false});
+                }
+                CHECK(steps == std::vector<std::uint32_t>{1, 2, 4, 6});
+            }
+        }
+        WHEN("a slow reply comes within a step")
+        {
+            for (auto count = 0; count < 8; ++count)
+                advanceRamp(cold, limits, settings, {TargetState::Warm, false, false}, now);
+            now += 1900ms;
+            advanceRamp(cold, limits, settings, {TargetState::Warm, false, true}, now);
+            now += 100ms;
+            advanceRamp(cold, limits, settings, {TargetState::Warm, false, false}, now);
+            THEN("the step starts again")
+            {
+                CHECK(allowedRequests(cold, limits) == 1);
+            }
+        }
+    }
+}
