Keep the slot of a request whose connection was lost

A lost connection doesn't prove that the target ended the request, so freeing the slot at once could load the target beyond its slots. The slot now stays counted until the request's deadline, or until a probe or reply shows that the target restarted.

--- a/core/dispatch.cpp
+++ b/core/dispatch.cpp
@@ -208,6 +208,7 @@
     check(proven, Invariant::AtMostOnce, "a request that may have run is sent again");
     freeConnection(leaf, number(attempt.connection));
     attempt.resent = true;
+    attempt.targetReplied = false;
     attempt.send = {};
     wait(state, index, now);
     return true;
@@ -233,6 +234,43 @@
     sendWaiting(state, leafIndex, now, actions);
 }
 
+// True if a send that has ended here has ended at the target too.
+auto hasEnded(const LeafState &leaf, const Attempt &attempt, const TargetReply &reply,
+              TimePoint now) -> bool
+{
+    // A response, even one that makes no sense, ends the request. So does a cancel, unless the
+    // connection was closed because it was silent.
+    const auto responded = !reply.startId.empty() || reply.connectionOpen;
+    const auto cancelled = attempt.cancelled && attempt.phase == AttemptPhase::Running;
+    return responded || cancelled || reply.outcome == Outcome::Done
+           || provesNotRun(leaf, attempt, reply) || now >= attempt.sentDeadline;
+}
+
+// Keeps the slot of an answered attempt counted until its deadline, and asks the target at once
+// whether it restarted, which would free the slot earlier.
+auto keepSlot(DispatchState &state, std::uint32_t index, TimePoint now, DispatchActions &actions)
+        -> void
+{
+    auto &attempt = state.attempts.attempts[index];
+    if (attempt.phase == AttemptPhase::Abandoned)
+        return;
+    attempt.phase = AttemptPhase::Abandoned;
+    arm(state.attemptTimers, index, attempt.sentDeadline);
+    sendProbe(state, state.leafs[attempt.leaf], ProbeKind::RestartCheck, now, actions);
+}
+
+// Frees the slots of answered attempts whose process has ended.
+auto releaseEnded(DispatchState &state, const LeafState &leaf) -> void
+{
+    for (const auto &connection : leaf.connections) {
+        if (!reachedEndedProcess(leaf, connection))
+            continue;
+        const auto &attempt = state.attempts.attempts[connection.attempt];
+        if (attempt.phase == AttemptPhase::Abandoned && attempt.targetReplied)
+            release(state, connection.attempt);
+    }
+}
+
 auto onTargetReply(DispatchState &state, TargetReply &reply, TimePoint now,
                    DispatchActions &actions) -> void
 {
@@ -245,20 +283,16 @@
     observeTarget(state, leaf, attempt, reply, now);
     if (refusal(leaf) == Reason::TargetLeaving)
         refuseAllWaiting(state, leaf, Reason::TargetLeaving, now, actions);
-    if (attempt.phase == AttemptPhase::Abandoned) {
-        attempt.targetReplied = true;
-        const auto ended = !reply.startId.empty() || provesNotRun(leaf, attempt, reply)
-                           || now >= attempt.sentDeadline;
-        if (ended) {
-            release(state, *index);
-            afterRelease(state, leafIndex, now, actions);
-        }
-        return;
-    }
+    attempt.targetReplied = true;
     if (!waitAgain(state, *index, reply, now)) {
-        answerFromTarget(state, leaf, attempt, reply, now, actions);
-        release(state, *index);
+        if (attempt.phase == AttemptPhase::Running)
+            answerFromTarget(state, leaf, attempt, reply, now, actions);
+        if (hasEnded(leaf, attempt, reply, now))
+            release(state, *index);
+        else
+            keepSlot(state, *index, now, actions);
     }
+    releaseEnded(state, leaf);
     afterRelease(state, leafIndex, now, actions);
 }
 
@@ -275,16 +309,17 @@
     const auto start = leaf.cold.start;
     if (reply.answered)
         showTarget(leaf, reply.startId, reply.state, now);
-    if (probe.silentCheck && reply.answered && leaf.cold.start == start)
+    if (probe.kind == ProbeKind::SilentCheck && reply.answered && leaf.cold.start == start)
         ++leaf.counters.silentConnections;
-    // The abandoned attempt was no fault of one connection: the target itself doesn't answer.
-    if (probe.silentCheck && !reply.answered)
+    // The fault isn't that of one connection: the target itself doesn't answer.
+    if (probe.kind != ProbeKind::Health && !reply.answered)
         startCold(leaf, now);
     if (refusal(leaf) == Reason::TargetLeaving)
         refuseAllWaiting(state, leaf, Reason::TargetLeaving, now, actions);
-    if (probe.checkWanted)
-        sendProbe(state, leaf, true, now, actions);
-    sendWaiting(state, found->second, now, actions);
+    if (probe.wanted != ProbeKind::Health)
+        sendProbe(state, leaf, probe.wanted, now, actions);
+    releaseEnded(state, leaf);
+    afterRelease(state, found->second, now, actions);
 }
 
 auto onWaitingTimer(DispatchState &state, std::uint32_t index, TimePoint now,
@@ -317,7 +352,7 @@
     if (attempt.opensConnection)
         record(leaf.latency, now - attempt.sentAt, now);
     else
-        sendProbe(state, leaf, true, now, actions);
+        sendProbe(state, leaf, ProbeKind::SilentCheck, now, actions);
     if (now < attempt.sentDeadline)
         arm(state.attemptTimers, index, attempt.sentDeadline);
 }
@@ -371,7 +406,7 @@
     const auto interval = state.settings.healthInterval;
     const auto heardLately = now - leaf.lastHeard < interval && leaf.lastHeard != TimePoint();
     if (!heardLately && leaf.out == Reason::None && holdsShare(leaf))
-        sendProbe(state, leaf, false, now, actions);
+        sendProbe(state, leaf, ProbeKind::Health, now, actions);
     arm(state.leafTimers, index, (heardLately ? leaf.lastHeard : now) + interval);
 }
 
--- a/core/sending.cpp
+++ b/core/sending.cpp
@@ -172,7 +172,7 @@
     attempt.connection = static_cast<ConnectionIndex>(candidate.plan.connection);
     attempt.opensConnection = !connection.open;
     attempt.doubts = leaf.cold.doubts;
-    occupyConnection(leaf, candidate.plan.connection, candidate.plan.unverified);
+    occupyConnection(leaf, candidate.plan.connection, candidate.attempt, candidate.plan.unverified);
     ++leaf.counters.sent;
     checkLimits(state, leaf);
     checkMaySend(state, leaf, attempt, now);
@@ -296,7 +296,7 @@
     }
 }
 
-auto sendProbe(DispatchState &state, LeafState &leaf, bool silentCheck, TimePoint now,
+auto sendProbe(DispatchState &state, LeafState &leaf, ProbeKind kind, TimePoint now,
                DispatchActions &actions) -> void
 {
     // A probe that isn't answered in this many health intervals is given up.
@@ -305,11 +305,11 @@
         return;
     if (leaf.probe.outstanding
         && now - leaf.probe.sentAt < state.settings.healthInterval * patience) {
-        leaf.probe.checkWanted = leaf.probe.checkWanted || silentCheck;
+        leaf.probe.wanted = std::max(leaf.probe.wanted, kind);
         return;
     }
-    const auto newConnection = silentCheck || leaf.probe.lastFailed;
-    leaf.probe = {true, now, silentCheck, false, false};
+    const auto newConnection = kind != ProbeKind::Health || leaf.probe.lastFailed;
+    leaf.probe = {true, now, kind, ProbeKind::Health, false};
     actions.emplace_back(TargetProbe{leaf.id, leaf.address, newConnection});
 }
 
--- a/core/sending.h
+++ b/core/sending.h
@@ -43,8 +43,9 @@
 auto sendWaiting(DispatchState &state, std::uint32_t leafIndex, TimePoint now,
                  DispatchActions &actions) -> void;
 
-// Sends a probe, unless the leaf has no connection for it or one is outstanding.
-auto sendProbe(DispatchState &state, LeafState &leaf, bool silentCheck, TimePoint now,
+// Sends a probe, unless the leaf has no connection for it or one is outstanding. A check then
+// follows that one.
+auto sendProbe(DispatchState &state, LeafState &leaf, ProbeKind kind, TimePoint now,
                DispatchActions &actions) -> void;
 
 } // namespace crocusreach
--- a/core/targets.cpp
+++ b/core/targets.cpp
@@ -92,10 +92,17 @@
     return choice;
 }
 
-auto occupyConnection(LeafState &leaf, std::size_t index, bool unverified) -> void
+auto reachedEndedProcess(const LeafState &leaf, const Connection &connection) -> bool
+{
+    return connection.busy && !connection.unverified && connection.sentStart != leaf.cold.start;
+}
+
+auto occupyConnection(LeafState &leaf, std::size_t index, std::uint32_t attempt, bool unverified)
+        -> void
 {
     auto &connection = leaf.connections[index];
     connection.busy = true;
+    connection.attempt = attempt;
     connection.unverified = unverified;
     connection.sentStart = leaf.cold.start;
     ++leaf.running;
--- a/core/targets.h
+++ b/core/targets.h
@@ -26,6 +26,7 @@
     // Of the request on it, while busy.
     bool unverified = false;
     StartNumber sentStart = {}; // current start when the request was sent
+    std::uint32_t attempt = 0; // index
 };
 
 struct TargetCounters
@@ -35,12 +36,19 @@
     std::uint64_t silentConnections = 0;
 };
 
+// Why a probe is sent. A later one is the more urgent.
+enum class ProbeKind : std::uint8_t {
+    Health,
+    RestartCheck, // after a lost connection
+    SilentCheck, // after an attempt without a reply on an established connection
+};
+
 struct ProbeState
 {
     bool outstanding = false;
     TimePoint sentAt = {};
-    bool silentCheck = false; // the outstanding probe follows an abandoned attempt
-    bool checkWanted = false; // a check is due once the outstanding probe has ended
+    ProbeKind kind = ProbeKind::Health; // of the outstanding probe
+    ProbeKind wanted = ProbeKind::Health; // a check that is due once it has ended
     bool lastFailed = false; // so that the next one needs a new connection
 };
 
@@ -111,7 +119,11 @@
 
 auto chooseConnections(const LeafState &leaf) -> ConnectionChoice;
 
-auto occupyConnection(LeafState &leaf, std::size_t index, bool unverified) -> void;
+// True if the request on a busy connection can only have reached a process that has ended.
+auto reachedEndedProcess(const LeafState &leaf, const Connection &connection) -> bool;
+
+auto occupyConnection(LeafState &leaf, std::size_t index, std::uint32_t attempt, bool unverified)
+        -> void;
 auto freeConnection(LeafState &leaf, std::size_t index) -> void;
 
 // Marks idle connections closed and forgets those that exceed the limits.
--- a/tests/core_dispatch.cpp
+++ b/tests/core_dispatch.cpp
@@ -148,9 +148,34 @@
                 CHECK(replies[0].outcome == Outcome::Unknown);
                 CHECK(replies[0].reason == Reason::ConnectionLost);
                 giveRequests(world, 9);
+                // The target may still run the request whose reply was lost.
                 const auto sends = take<TargetSend>(world);
-                CHECK(sends.size() == 2);
-                CHECK(std::ranges::all_of(sends, &TargetSend::mayConnect));
+                REQUIRE(sends.size() == 1);
+                CHECK(sends[0].mayConnect);
+                AND_WHEN("a probe shows that the target restarted")
+                {
+                    const auto probes = take<TargetProbe>(world);
+                    REQUIRE(probes.size() == 1);
+                    CHECK(probes[0].newConnection);
+                    give(world, ProbeReply{leaf.id, true, "start-2", TargetState::Warm, 0});
+                    THEN("the request ended with the former process, and its slot is free")
+                    {
+                        CHECK(take<TargetSend>(world).size() == 1);
+                        CHECK(statusOf(world, leaf).running == 2);
+                    }
+                }
+                AND_WHEN("its deadline passes")
+                {
+                    give(world, makeReply(sends[0], "start-1"));
+                    const auto second = take<TargetSend>(world);
+                    CHECK(second.size() == 1);
+                    world.now += 1s;
+                    give(world, Tick());
+                    THEN("its slot is free")
+                    {
+                        CHECK(statusOf(world, leaf).running <= 1);
+                    }
+                }
             }
         }
         WHEN("a verified connection turns out to be closed before a request was written")
