--- a/core/dispatch.cpp
+++ b/core/dispatch.cpp
@@ -169,7 +169,7 @@
 {
     auto &connection = leaf.connections[number(attempt.connection)];
     const auto abandoned = attempt.phase == AttemptPhase::Abandoned;
-    connection.open = reply.connectionOpen && !abandoned;
+    connection.open = reply.connectionOpen;
     if (reply.startId.empty()) {
         // A connection that was closed from here tells nothing about the target.
         if (!reply.connectionOpen && !abandoned && !attempt.cancelled)
--- a/core/dispatchview.cpp
+++ b/core/dispatchview.cpp
@@ -67,10 +67,8 @@
     state.leafs[index].used = true;
     state.leafs[index].id = id;
     state.leafIndexes[id] = index;
-    // Spreads the health checks of many leafs over the interval.
-    const auto interval = std::max<std::int64_t>(1, state.settings.healthInterval.count());
-    const auto offset = number(id) % static_cast<std::uint64_t>(interval);
-    arm(state.leafTimers, index, now + Duration(static_cast<std::int64_t>(offset)));
+    // Whether the target is leaving isn't known here yet, so its health is asked for at once.
+    arm(state.leafTimers, index, now);
     return index;
 }
 
@@ -167,6 +165,9 @@
     if (returned || relisted)
         startCold(leaf, now);
     resizeConnections(leaf, actions);
+    // While it was out nobody asked whether the target is leaving.
+    if (returned)
+        sendProbe(state, leaf, ProbeKind::Health, now, actions);
 }
 
 // Refuses the waiting requests that this holder may not send any more.
--- a/tests/holderworld.h
+++ b/tests/holderworld.h
@@ -77,6 +77,11 @@
     world.view.leaseEnd = world.now + 1h;
     world.state = makeDispatchState(settings);
     publish(world);
+    // The first health check is answered without news of the target.
+    for (const auto &leaf : leafs)
+        handle(*world.state, ProbeReply{leaf.id, true, "", TargetState::Unknown, 0}, world.now,
+               world.actions);
+    world.actions.clear();
     return world;
 }
 
