Spread changes with an early heartbeat, and look up own shares by order

New epochs, revisions and released shares waited for the next regular heartbeat. They are now sent at once, at most every 50 ms. Own shares are found by binary search and the wait of an epoch is examined once an event, since an instance of a small cell may hold thousands of shares.

--- a/core/control.cpp
+++ b/core/control.cpp
@@ -35,10 +35,14 @@
 constexpr Duration furtherStandInDelay = std::chrono::milliseconds(500);
 constexpr Duration outsiderDelay = std::chrono::milliseconds(2500);
 
-// An instance that hears fewer than half of the other members waits longer: the larger side of a
-// partition acts first.
+// The larger side of a partition acts first: an instance waits if the members that it hears are
+// half of the cell without the lowest id, and longer if they are fewer than half.
+constexpr Duration halfDelay = std::chrono::seconds(2);
 constexpr Duration isolatedDelay = std::chrono::seconds(10);
 
+// Least time between two rounds of heartbeats, the regular ones and those that report a change.
+constexpr Duration heartbeatSpacing = std::chrono::milliseconds(50);
+
 // A configuration read is new enough for a placement if it is younger than this.
 constexpr Duration freshConfiguration = std::chrono::seconds(2);
 
@@ -55,12 +59,15 @@
     bool stopping = false;
     std::optional<TimePoint> startedAt;
     TimePoint nextHeartbeat = {};
+    TimePoint lastHeartbeat = {};
     TimePoint nextSeeds = {};
     TimePoint nextList = {};
     TimePoint nextAssignmentRead = {};
     TimePoint adoptedAt = {}; // the newest assignment
     std::optional<TimePoint> wantedSince; // a different assignment
     Duration wantedJitter = {};
+    std::vector<HeldShare> held; // published with the view
+    bool heldChanged = false; // shares were taken or lost since held was made
     bool listingChanged = false;
     ClusterViewPtr view;
     // The last placement tried, and what it was tried for.
@@ -88,6 +95,13 @@
     return member != nullptr && member->incarnation > state.settings.self.incarnation;
 }
 
+// Sends heartbeats soon, so that peers learn of a change before the regular time.
+auto hastenHeartbeat(ControlState &state, TimePoint now) -> void
+{
+    state.nextHeartbeat
+            = std::min(state.nextHeartbeat, std::max(now, state.lastHeartbeat + heartbeatSpacing));
+}
+
 auto makeHeartbeat(const ControlState &state, TimePoint now) -> Heartbeat
 {
     auto heartbeat = Heartbeat();
@@ -120,15 +134,19 @@
     state.listingChanged = true;
 }
 
-auto takeConfiguration(ControlState &state, std::shared_ptr<const Configuration> newer) -> bool
+auto takeConfiguration(ControlState &state, std::shared_ptr<const Configuration> newer,
+                       TimePoint now) -> bool
 {
     const auto before = state.propagation.configuration->revision;
     const auto changed = adoptConfiguration(state.propagation, std::move(newer));
     check(state.propagation.configuration->revision >= before, Invariant::RevisionNeverFalls,
           "an older configuration was applied");
-    if (changed)
-        applyListing(state);
-    return changed;
+    if (!changed)
+        return false;
+    applyListing(state);
+    state.heldChanged = true;
+    hastenHeartbeat(state, now);
+    return true;
 }
 
 auto takeAssignment(ControlState &state, std::shared_ptr<const Assignment> newer, TimePoint now)
@@ -151,6 +169,8 @@
     }
     state.adoptedAt = now;
     state.wantedSince.reset();
+    state.heldChanged = true;
+    hastenHeartbeat(state, now);
     return true;
 }
 
@@ -176,20 +196,24 @@
     return static_cast<std::size_t>(std::ranges::find(live, id) - live.begin());
 }
 
-// True if fewer than half of the other members that may be alive are heard.
-auto isIsolated(const ControlState &state, TimePoint now) -> bool
+// How long an instance leaves it to the other side of a possible partition to act.
+auto partitionDelay(const ControlState &state, const std::vector<InstanceId> &live) -> Duration
 {
-    auto others = std::size_t{0};
-    auto heard = std::size_t{0};
+    auto members = std::size_t{0};
+    auto lowest = std::optional<InstanceId>();
     for (const auto &member : state.propagation.assignment->members) {
         const auto *peer = findPeer(state.membership, member.id, member.incarnation);
-        if (peer == nullptr || peer->gone)
+        if (peer != nullptr && peer->gone)
             continue;
-        ++others;
-        if (isHeard(state.membership, *peer, now))
-            ++heard;
+        ++members;
+        if (!lowest)
+            lowest = member.id;
     }
-    return heard * 2 < others;
+    if (live.size() * 2 > members || members == 0)
+        return Duration();
+    if (live.size() * 2 < members)
+        return isolatedDelay;
+    return live.front() == *lowest ? Duration() : halfDelay;
 }
 
 // A peer that isn't a member but asks to become one.
@@ -267,16 +291,14 @@
 
 auto proposalDelay(const ControlState &state, TimePoint now) -> Duration
 {
-    auto delay = Duration();
-    if (isIsolated(state, now))
-        delay += isolatedDelay;
     const auto live = liveMembers(state, now);
+    const auto delay = partitionDelay(state, live);
     if (!isSelfMember(state))
         return delay + (live.empty() ? Duration() : outsiderDelay) + state.wantedJitter;
-    const auto rank = rankIn(live, selfId(state));
-    if (rank > 0)
-        delay += firstStandInDelay + furtherStandInDelay * static_cast<Duration::rep>(rank - 1);
-    return delay;
+    const auto rank = static_cast<Duration::rep>(rankIn(live, selfId(state)));
+    if (rank == 0)
+        return delay;
+    return delay + firstStandInDelay + furtherStandInDelay * (rank - 1);
 }
 
 // True if no peer that is heard has a newer configuration or assignment.
@@ -327,6 +349,7 @@
     if (now < state.nextHeartbeat)
         return;
     state.nextHeartbeat = now + state.settings.heartbeatInterval;
+    state.lastHeartbeat = now;
     prunePeers(state.membership, *state.propagation.assignment, now);
     const auto heartbeat = makeHeartbeat(state, now);
     auto &peers = state.membership.peers;
@@ -442,17 +465,11 @@
            && left.epoch == right.epoch;
 }
 
-auto sameShare(const HeldShare &left, const HeldShare &right) -> bool
-{
-    return left.leaf == right.leaf && left.ordinal == right.ordinal && left.size == right.size;
-}
-
 auto sameView(const ClusterView &left, const ClusterView &right) -> bool
 {
     return left.configuration == right.configuration && left.assignment == right.assignment
            && left.leaseEnd == right.leaseEnd && left.storeReachable == right.storeReachable
            && left.stopping == right.stopping
-           && std::ranges::equal(left.held, right.held, sameShare)
            && std::ranges::equal(left.peers, right.peers, samePeer);
 }
 
@@ -477,7 +494,6 @@
     view.configuration = state.propagation.configuration;
     view.leafIndex = state.propagation.leafIndex;
     view.assignment = state.propagation.assignment;
-    view.held = heldShares(state.lease, *state.propagation.leafIndex);
     view.leaseEnd = leaseEnd(state.lease, state.settings);
     view.peers = peerViews(state, now);
     view.storeReachable = state.propagation.storeReachable;
@@ -488,11 +504,15 @@
 auto publish(ControlState &state, TimePoint now, ControlActions &actions) -> void
 {
     auto view = makeView(state, now);
-    checkHeld(state, view, now);
-    if (!state.listingChanged && sameView(view, *state.view))
+    if (!state.heldChanged && !state.listingChanged && sameView(view, *state.view))
         return;
+    if (state.heldChanged)
+        state.held = heldShares(state.lease, *state.propagation.leafIndex);
+    state.heldChanged = false;
     state.listingChanged = false;
+    view.held = state.held;
     view.listing = state.listing;
+    checkHeld(state, view, now);
     state.view = std::make_shared<const ClusterView>(std::move(view));
     actions.emplace_back(PublishView{state.view});
 }
@@ -501,8 +521,12 @@
 auto advance(ControlState &state, TimePoint now, ControlActions &actions) -> void
 {
     giveUpCalls(state.propagation, state.settings, now);
-    advanceTakeover(state.lease, *state.propagation.assignment, state.membership, state.settings,
-                    now);
+    const auto drainedBefore = state.lease.drained;
+    if (advanceTakeover(state.lease, *state.propagation.assignment, state.membership,
+                        state.settings, now))
+        state.heldChanged = true;
+    if (state.lease.drained > drainedBefore)
+        hastenHeartbeat(state, now);
     sendHeartbeats(state, now, actions);
     readConfiguration(state, now, actions);
     readAssignment(state, now, actions);
@@ -542,7 +566,7 @@
 
 auto on(ControlState &state, const FetchedState &fetched, TimePoint now, ControlActions &) -> void
 {
-    takeConfiguration(state, fetched.configuration);
+    takeConfiguration(state, fetched.configuration, now);
     takeAssignment(state, fetched.assignment, now);
 }
 
@@ -587,7 +611,7 @@
         onWritten(state, *call, reply, now, actions);
     } else if (call->kind == StateKind::Assignment) {
         onAssignmentRead(state, *call, reply, now);
-    } else if (takeConfiguration(state, reply.configuration)
+    } else if (takeConfiguration(state, reply.configuration, now)
                && call->operation == StoreOperation::Read) {
         suspectWatch(propagation, *call, now);
     }
@@ -615,13 +639,13 @@
 auto on(ControlState &state, const StopRequested &, TimePoint now, ControlActions &) -> void
 {
     state.stopping = true;
-    state.nextHeartbeat = now;
+    hastenHeartbeat(state, now);
 }
 
 // A new link is used at once, so that a peer that came back is heard soon.
 auto on(ControlState &state, const PeerConnected &, TimePoint now, ControlActions &) -> void
 {
-    state.nextHeartbeat = now;
+    hastenHeartbeat(state, now);
 }
 
 auto on(ControlState &, const PeerDisconnected &, TimePoint, ControlActions &) -> void { }
--- a/core/lease.cpp
+++ b/core/lease.cpp
@@ -1,8 +1,9 @@
 #include "lease.h"
 
-#include "invariants.h"
-
 #include <algorithm>
+#include <set>
+#include <span>
+#include <utility>
 
 namespace crocusreach {
 
@@ -13,12 +14,14 @@
     return share.holder == lease.self && share.holderIncarnation == lease.incarnation;
 }
 
-auto findOwn(const Lease &lease, const Share &share) -> const OwnShare *
+// The own share of that leaf and ordinal; shares are ordered by both.
+auto findOwn(std::span<const OwnShare> shares, const Share &share) -> const OwnShare *
 {
-    const auto found = std::ranges::find_if(lease.shares, [&](const OwnShare &own) {
-        return own.share.leaf == share.leaf && own.share.ordinal == share.ordinal;
-    });
-    return found == lease.shares.end() ? nullptr : &*found;
+    const auto key
+            = [](const OwnShare &own) { return std::pair(own.share.leaf, own.share.ordinal); };
+    const auto wanted = std::pair(share.leaf, share.ordinal);
+    const auto found = std::ranges::lower_bound(shares, wanted, {}, key);
+    return found == shares.end() || key(*found) != wanted ? nullptr : &*found;
 }
 
 // True if the holder's right goes on: nothing happened to the share since it was taken.
@@ -29,13 +32,11 @@
 
 // Finds what the instance lost with the next assignment, and what it can say of it.
 auto noteLosses(Lease &lease, const Assignment *former, const Assignment &next,
-                const std::vector<OwnShare> &kept) -> void
+                std::span<const OwnShare> kept) -> void
 {
     const auto lost = [&](const OwnShare &own) {
-        return std::ranges::none_of(kept, [&](const OwnShare &other) {
-            return other.share.leaf == own.share.leaf && other.share.ordinal == own.share.ordinal
-                   && goesOn(own, other.share);
-        });
+        const auto *other = findOwn(kept, own.share);
+        return other == nullptr || !goesOn(own, other->share);
     };
     // An instance that missed an epoch doesn't know who held its shares in between. The first
     // assignment that an instance learns can't follow one with it as a member: it is made a member
@@ -94,14 +95,24 @@
     lease.drained = assignment.epoch;
 }
 
+// The epochs that gave this instance shares that it hasn't taken yet.
+auto untakenEpochs(const Lease &lease) -> std::set<Epoch>
+{
+    auto epochs = std::set<Epoch>();
+    for (const auto &own : lease.shares) {
+        if (!own.taken)
+            epochs.insert(own.share.since);
+    }
+    return epochs;
+}
+
 // Forgets waits that neither a share nor a report of released shares needs any more.
 auto forgetWaits(Lease &lease) -> void
 {
+    const auto untaken = untakenEpochs(lease);
     std::erase_if(lease.renewalsEndedAt, [&](const auto &entry) {
-        const auto needed = std::ranges::any_of(lease.shares, [&](const OwnShare &own) {
-            return !own.taken && own.share.since == entry.first;
-        });
-        return !needed && (entry.first != lease.unproven || lease.unproven <= lease.drained);
+        const auto reported = entry.first != lease.unproven || lease.unproven <= lease.drained;
+        return reported && !untaken.contains(entry.first);
     });
 }
 
@@ -138,10 +149,11 @@
 auto adoptShares(Lease &lease, const Assignment *former, const Assignment &next) -> void
 {
     auto shares = std::vector<OwnShare>();
+    const auto member = isMember(next, lease.self, lease.incarnation);
     for (const auto &share : next.shares) {
-        if (!isOwn(lease, share) || !isMember(next, lease.self, lease.incarnation))
+        if (!member || !isOwn(lease, share))
             continue;
-        const auto *own = findOwn(lease, share);
+        const auto *own = findOwn(lease.shares, share);
         shares.push_back({share, own != nullptr && own->taken && goesOn(*own, share)});
     }
     noteLosses(lease, former, next, shares);
@@ -172,15 +184,17 @@
 {
     auto changed = false;
     advanceDrained(lease, assignment, membership, settings, now);
+    for (const auto since : untakenEpochs(lease))
+        noteRenewalsEnded(lease, assignment, membership, since, now);
     for (auto &own : lease.shares) {
         if (own.taken)
             continue;
-        noteRenewalsEnded(lease, assignment, membership, own.share.since, now);
         own.taken = isReleased(lease, own.share, membership)
                     || waitEnded(lease, own.share.since, settings, now);
         changed = changed || own.taken;
     }
-    forgetWaits(lease);
+    if (changed)
+        forgetWaits(lease);
     return changed;
 }
 
