Tell dead members from a broken network, and test each rule of control

An instance cut off from its peers but not from the store removed all others, and its peers then lost their shares. One that hears fewer than half of the members now leaves the others alone until the instance list shows them gone. Instances that start together let the lowest id create the assignment. A watch counts as silent wherever the newer revision came from.

--- a/core/control.cpp
+++ b/core/control.cpp
@@ -36,9 +36,11 @@
 constexpr Duration outsiderDelay = std::chrono::milliseconds(2500);
 
 // The larger side of a partition acts first: an instance waits if the members that it hears are
-// half of the cell without the lowest id, and longer if they are fewer than half.
+// half of the cell without the lowest id. One that hears fewer than half can't complete a takeover;
+// it leaves the others alone until the instance list shows them gone, or for this long in case the
+// list is down too.
 constexpr Duration halfDelay = std::chrono::seconds(2);
-constexpr Duration isolatedDelay = std::chrono::seconds(10);
+constexpr Duration isolatedDelay = std::chrono::seconds(60);
 
 // Least time between two rounds of heartbeats, the regular ones and those that report a change.
 constexpr Duration heartbeatSpacing = std::chrono::milliseconds(50);
@@ -138,7 +140,7 @@
                        TimePoint now) -> bool
 {
     const auto before = state.propagation.configuration->revision;
-    const auto changed = adoptConfiguration(state.propagation, std::move(newer));
+    const auto changed = adoptConfiguration(state.propagation, std::move(newer), now);
     check(state.propagation.configuration->revision >= before, Invariant::RevisionNeverFalls,
           "an older configuration was applied");
     if (!changed)
@@ -233,6 +235,9 @@
         return true;
     if (peer->leaving || peer->listedLeaving || isSuperseded(state.membership, *peer))
         return false;
+    // An instance that isn't a member can't tell dead members from a broken network.
+    if (!isSelfMember(state))
+        return !peer->gone;
     return !isSuspectedByAll(state.membership, *state.propagation.assignment, *peer, now);
 }
 
@@ -289,12 +294,30 @@
     return pruned;
 }
 
+// Instances that want to join and this one, by id.
+auto joiningInstances(const ControlState &state, TimePoint now) -> std::vector<InstanceId>
+{
+    auto joining = std::vector<InstanceId>{selfId(state)};
+    for (const auto &peer : state.membership.peers) {
+        if (isHeard(state.membership, peer, now) && !peer.leaving
+            && !isSuperseded(state.membership, peer))
+            joining.push_back(peer.member.id);
+    }
+    std::ranges::sort(joining);
+    return joining;
+}
+
+// How long this instance leaves it to others to write a wanted assignment.
 auto proposalDelay(const ControlState &state, TimePoint now) -> Duration
 {
-    const auto live = liveMembers(state, now);
-    const auto delay = partitionDelay(state, live);
-    if (!isSelfMember(state))
-        return delay + (live.empty() ? Duration() : outsiderDelay) + state.wantedJitter;
+    auto live = liveMembers(state, now);
+    auto delay = partitionDelay(state, live);
+    if (live.empty()) {
+        delay += state.wantedJitter;
+        live = joiningInstances(state, now);
+    } else if (!isSelfMember(state)) {
+        return delay + outsiderDelay + state.wantedJitter;
+    }
     const auto rank = static_cast<Duration::rep>(rankIn(live, selfId(state)));
     if (rank == 0)
         return delay;
@@ -611,9 +634,8 @@
         onWritten(state, *call, reply, now, actions);
     } else if (call->kind == StateKind::Assignment) {
         onAssignmentRead(state, *call, reply, now);
-    } else if (takeConfiguration(state, reply.configuration, now)
-               && call->operation == StoreOperation::Read) {
-        suspectWatch(propagation, *call, now);
+    } else {
+        takeConfiguration(state, reply.configuration, now);
     }
 }
 
--- a/core/propagation.cpp
+++ b/core/propagation.cpp
@@ -58,6 +58,15 @@
     actions.emplace_back(std::move(call));
 }
 
+// A pending watch should report a newer revision soon, from wherever it became known.
+auto suspectWatches(Propagation &propagation, TimePoint now) -> void
+{
+    for (auto &call : propagation.pending) {
+        if (call.operation == StoreOperation::Watch && !call.silentAt)
+            call.silentAt = now + watchLag;
+    }
+}
+
 auto pullKind(std::optional<TimePoint> &pulledAt, const Heartbeat &state, FetchState fetch,
               TimePoint now, ControlActions &actions) -> void
 {
@@ -77,14 +86,15 @@
     return duration / 2 + duration * part / (2 * static_cast<Duration::rep>(parts));
 }
 
-auto adoptConfiguration(Propagation &propagation, std::shared_ptr<const Configuration> newer)
-        -> bool
+auto adoptConfiguration(Propagation &propagation, std::shared_ptr<const Configuration> newer,
+                        TimePoint now) -> bool
 {
     if (newer == nullptr || newer->revision <= propagation.configuration->revision)
         return false;
     propagation.leafIndex = std::make_shared<const LeafIndex>(buildLeafIndex(*newer));
     propagation.configuration = std::move(newer);
     propagation.configurationPulledAt.reset();
+    suspectWatches(propagation, now);
     return true;
 }
 
@@ -178,15 +188,6 @@
                   [&](const PendingCall &call) { return now >= call.givenUpAt; });
 }
 
-auto suspectWatch(Propagation &propagation, const PendingCall &read, TimePoint now) -> void
-{
-    for (auto &call : propagation.pending) {
-        if (call.operation == StoreOperation::Watch && call.startedAt <= read.startedAt
-            && !call.silentAt)
-            call.silentAt = now + watchLag;
-    }
-}
-
 auto nextStoreTime(const Propagation &propagation, TimePoint now) -> std::optional<TimePoint>
 {
     auto next = std::optional<TimePoint>();
--- a/core/propagation.h
+++ b/core/propagation.h
@@ -19,8 +19,8 @@
 // A call whose reply hasn't arrived this long after its timeout is given up by the core too.
 constexpr Duration replyGrace = std::chrono::milliseconds(500);
 
-// How long a watch may lag behind a read that found a newer revision.
-constexpr Duration watchLag = std::chrono::milliseconds(300);
+// How long a watch may lag behind the reads and the peers that report a newer revision.
+constexpr Duration watchLag = std::chrono::seconds(1);
 
 // A pull that isn't answered within this time is repeated, perhaps at another peer.
 constexpr Duration pullTimeout = std::chrono::seconds(1);
@@ -33,7 +33,8 @@
     TimePoint startedAt = {};
     TimePoint givenUpAt = {};
     std::shared_ptr<const Assignment> assignment; // of a write
-    // A read has found what this watch should have reported; without a reply by then it is silent.
+    // A newer revision became known, which this watch should report too; without a reply by then it
+    // is silent.
     std::optional<TimePoint> silentAt;
 };
 
@@ -60,15 +61,15 @@
     std::optional<TimePoint> uncertainUntil;
     std::optional<TimePoint> configurationPulledAt;
     std::optional<TimePoint> assignmentPulledAt;
-    std::uint64_t silentWatches = 0; // found by reads
+    std::uint64_t silentWatches = 0; // found so far
 };
 
 // Part of a duration between half and all of it, different at each call.
 auto jittered(Propagation &propagation, Duration duration) -> Duration;
 
 // Take a state if it is newer than the present one; true if so.
-auto adoptConfiguration(Propagation &propagation, std::shared_ptr<const Configuration> newer)
-        -> bool;
+auto adoptConfiguration(Propagation &propagation, std::shared_ptr<const Configuration> newer,
+                        TimePoint now) -> bool;
 auto adoptAssignment(Propagation &propagation, std::shared_ptr<const Assignment> newer) -> bool;
 
 auto isPending(const Propagation &propagation, StoreOperation operation, StateKind kind) -> bool;
@@ -92,9 +93,6 @@
 // Gives up calls that got no reply, and silent watches.
 auto giveUpCalls(Propagation &propagation, const ControlSettings &settings, TimePoint now) -> void;
 
-// Notes that a read found a newer revision, which a pending watch started before should report too.
-auto suspectWatch(Propagation &propagation, const PendingCall &read, TimePoint now) -> void;
-
 // When a pending call is given up or the back-off ends.
 auto nextStoreTime(const Propagation &propagation, TimePoint now) -> std::optional<TimePoint>;
 
--- a/tests/controlworld.h
+++ b/tests/controlworld.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 // Several control states under virtual time, with fakes for the store, the instance list, the
--- /dev/null
+++ b/tests/core_control.cpp
@@ -0,0 +1,955 @@
+#include <catch2/catch.hpp>
+
+#include "controlworld.h"
+#include "core/lease.h"
+#include "core/membership.h"
+#include "core/propagation.h"
+
+using namespace crocusreach;
+using namespace crocusreach::world;
+
+namespace {
+
+const auto domainNames = std::vector<std::string>{"a", "b", "c"};
+
+// Nodes in the given failure domains, started together, with shares of 8 leafs held.
+auto makeCell(std::span<const std::string> domains) -> World
+{
+    auto world = World();
+    world.random.seed(1);
+    world.settings.cell = "cell";
+    for (std::size_t index = 0; index < domains.size(); ++index)
+        addNode(world, "i" + std::to_string(index), domains[index]);
+    putConfiguration(world, world::makeConfiguration(8, 6, 4, domainNames));
+    for (std::size_t index = 0; index < domains.size(); ++index)
+        start(world, index);
+    return world;
+}
+
+auto makeRunningCell(std::vector<std::string> domains) -> World
+{
+    auto world = makeCell(domains);
+    REQUIRE(runUntilHolds(world, 30s, [](World &later) {
+        const auto &assignment = later.store.assignment;
+        return assignment != nullptr && assignment->members.size() == later.nodes.size()
+               && allSharesHeld(later);
+    }));
+    runFor(world, 5s);
+    REQUIRE(world.violation.empty());
+    return world;
+}
+
+auto epochOf(const World &world, std::size_t index) -> Epoch
+{
+    return currentView(*world.nodes[index].state)->assignment->epoch;
+}
+
+auto revisionOf(const World &world, std::size_t index) -> Revision
+{
+    return currentView(*world.nodes[index].state)->configuration->revision;
+}
+
+auto mayUseShares(const World &world, std::size_t index) -> bool
+{
+    return !heldUsages(world, index).empty();
+}
+
+auto isMemberNow(const World &world, std::size_t index) -> bool
+{
+    const auto &member = world.nodes[index].member;
+    return isMember(*world.store.assignment, member.id, member.incarnation);
+}
+
+auto cutOff(World &world, std::size_t index) -> void
+{
+    for (std::size_t other = 0; other < world.nodes.size(); ++other) {
+        world.carrier.cut.emplace(index, other);
+        world.carrier.cut.emplace(other, index);
+    }
+}
+
+// Index of the node with the lowest or a later id, the order in which members act.
+auto nodeByRank(const World &world, std::size_t rank) -> std::size_t
+{
+    auto order = std::vector<std::size_t>(world.nodes.size());
+    for (std::size_t index = 0; index < order.size(); ++index)
+        order[index] = index;
+    std::ranges::sort(order, {}, [&](std::size_t index) { return world.nodes[index].member.id; });
+    return order[rank];
+}
+
+// Changes the configuration without effect on placement.
+auto changeSomething(World &world) -> void
+{
+    auto changed = *world.store.configuration;
+    changed.changes.push_back({{}, "change", "operator", {}, "nothing"});
+    putConfiguration(world, std::move(changed));
+}
+
+// One state driven by hand, a member with two others in an assignment of epoch 5.
+struct Single
+{
+    ControlSettings settings;
+    ControlStatePtr state;
+    TimePoint now = TimePoint(100s);
+    Assignment assignment;
+    Configuration configuration;
+    ControlActions actions;
+};
+
+auto member(const std::string &name, const std::string &domain, std::uint64_t incarnation = 1)
+        -> Member
+{
+    return {instanceId(name), Incarnation{incarnation}, name, name + ":1", domainId(domain)};
+}
+
+auto send(Single &single, const ControlEvent &event) -> void
+{
+    single.actions.clear();
+    handle(*single.state, event, single.now, single.actions);
+}
+
+template <typename Action>
+auto actionsOf(const Single &single) -> std::vector<Action>
+{
+    auto found = std::vector<Action>();
+    for (const auto &action : single.actions) {
+        if (const auto *wanted = std::get_if<Action>(&action))
+            found.push_back(*wanted);
+    }
+    return found;
+}
+
+auto makeSingle() -> Single
+{
+    auto single = Single();
+    single.settings.self = member("self", "a");
+    single.settings.cell = "cell";
+    single.state = makeControlState(single.settings);
+    single.configuration = world::makeConfiguration(6, 6, 4, domainNames);
+    single.configuration.revision = Revision{7};
+    auto former = Assignment();
+    former.cell = "cell";
+    former.epoch = Epoch{4};
+    auto members
+            = std::vector<Member>{member("self", "a"), member("near", "a"), member("far", "b")};
+    std::ranges::sort(members, {}, &Member::id);
+    single.assignment = place(former, members, single.configuration);
+    send(single, FetchedState{instanceId("far"),
+                              std::make_shared<const Configuration>(single.configuration),
+                              std::make_shared<const Assignment>(single.assignment)});
+    return single;
+}
+
+auto stateOf(const Member &from, Epoch epoch) -> Heartbeat
+{
+    auto state = Heartbeat();
+    state.from = from;
+    state.epoch = epoch;
+    state.revision = Revision{7};
+    return state;
+}
+
+auto leaseEndOf(const Single &single) -> TimePoint
+{
+    return currentView(*single.state)->leaseEnd;
+}
+
+// Sends the next round of heartbeats and returns the time that they carry.
+auto sendHeartbeatRound(Single &single) -> TimePoint
+{
+    single.now += 500ms;
+    send(single, Tick{});
+    REQUIRE(!actionsOf<SendHeartbeat>(single).empty());
+    return actionsOf<SendHeartbeat>(single).front().heartbeat.sentAt;
+}
+
+// Waits for a read of the assignment and returns it.
+auto awaitAssignmentRead(Single &single) -> StoreCall
+{
+    for (auto attempt = 0; attempt < 20; ++attempt) {
+        single.now += 100ms;
+        send(single, Tick{});
+        for (const auto &call : actionsOf<StoreCall>(single)) {
+            if (call.operation == StoreOperation::Read && call.kind == StateKind::Assignment)
+                return call;
+        }
+    }
+    FAIL("the assignment isn't read");
+    return {};
+}
+
+} // namespace
+
+SCENARIO("evidence renews a share lease")
+{
+    GIVEN("a member that has sent heartbeats")
+    {
+        auto single = makeSingle();
+        const auto sentAt = sendHeartbeatRound(single);
+        CHECK(leaseEndOf(single) < single.now);
+        WHEN("a member in another failure domain answers with the same epoch after a pause")
+        {
+            // Guards against a paused holder that counts a lease from the time of the reply.
+            single.now += 3s;
+            send(single, HeartbeatReply{stateOf(member("far", "b"), Epoch{5}), sentAt});
+            THEN("the lease runs from the time of sending")
+            {
+                CHECK(leaseEndOf(single) == sentAt + single.settings.leaseTime);
+                CHECK(!actionsOf<PublishView>(single).empty());
+            }
+        }
+        WHEN("a member in the same failure domain answers")
+        {
+            send(single, HeartbeatReply{stateOf(member("near", "a"), Epoch{5}), sentAt});
+            THEN("nothing is renewed")
+            {
+                CHECK(leaseEndOf(single) < single.now);
+            }
+        }
+        WHEN("the answer shows an older epoch")
+        {
+            send(single, HeartbeatReply{stateOf(member("far", "b"), Epoch{4}), sentAt});
+            CHECK(leaseEndOf(single) < single.now);
+        }
+        WHEN("the answer shows a newer epoch")
+        {
+            send(single, HeartbeatReply{stateOf(member("far", "b"), Epoch{6}), sentAt});
+            THEN("nothing is renewed and the newer assignment is fetched")
+            {
+                CHECK(leaseEndOf(single) < single.now);
+                REQUIRE(actionsOf<SendFetch>(single).size() == 1);
+                CHECK(actionsOf<SendFetch>(single).front().fetch.kind == StateKind::Assignment);
+            }
+        }
+        WHEN("another incarnation of the member answers")
+        {
+            send(single, HeartbeatReply{stateOf(member("far", "b", 2), Epoch{5}), sentAt});
+            CHECK(leaseEndOf(single) < single.now);
+        }
+        WHEN("an instance that isn't a member answers")
+        {
+            send(single, HeartbeatReply{stateOf(member("stranger", "c"), Epoch{5}), sentAt});
+            CHECK(leaseEndOf(single) < single.now);
+        }
+        WHEN("the answer echoes a time at which no heartbeat was sent")
+        {
+            // Guards against the answer to a former incarnation on another host's clock.
+            send(single, HeartbeatReply{stateOf(member("far", "b"), Epoch{5}), sentAt + 100ms});
+            CHECK(leaseEndOf(single) < single.now);
+        }
+        WHEN("the same answer arrives twice")
+        {
+            const auto reply = HeartbeatReply{stateOf(member("far", "b"), Epoch{5}), sentAt};
+            send(single, reply);
+            single.now += 1s;
+            send(single, reply);
+            CHECK(leaseEndOf(single) == sentAt + single.settings.leaseTime);
+        }
+    }
+    GIVEN("a member that has asked the store")
+    {
+        auto single = makeSingle();
+        const auto call = awaitAssignmentRead(single);
+        const auto startedAt = single.now;
+        auto reply = StoreReply{call.call, StoreStatus::Ok, 5, nullptr,
+                                std::make_shared<const Assignment>(single.assignment)};
+        WHEN("the store shows the epoch after a pause")
+        {
+            // Guards against a paused holder that counts a lease from the time of the reply.
+            single.now += 1400ms;
+            send(single, reply);
+            THEN("the lease runs from the start of the read")
+            {
+                CHECK(leaseEndOf(single) == startedAt + single.settings.leaseTime);
+            }
+        }
+        WHEN("the store shows an older epoch")
+        {
+            auto older = single.assignment;
+            older.epoch = Epoch{4};
+            reply.version = 4;
+            reply.assignment = std::make_shared<const Assignment>(older);
+            send(single, reply);
+            THEN("nothing is renewed and the epoch doesn't fall")
+            {
+                CHECK(leaseEndOf(single) < single.now);
+                CHECK(currentView(*single.state)->assignment->epoch == Epoch{5});
+            }
+        }
+        WHEN("the call times out")
+        {
+            send(single, StoreReply{call.call, StoreStatus::Unknown, 0, nullptr, nullptr});
+            THEN("the store counts as unreachable and calls back off")
+            {
+                CHECK(!currentView(*single.state)->storeReachable);
+                single.now += 100ms;
+                send(single, Tick{});
+                CHECK(actionsOf<StoreCall>(single).empty());
+            }
+        }
+    }
+}
+
+SCENARIO("a state is never replaced by an older one")
+{
+    // Guards against a slow peer or a late reply that reverts an accepted change.
+    auto single = makeSingle();
+    GIVEN("an older configuration and an older assignment from a peer")
+    {
+        auto configuration = single.configuration;
+        configuration.revision = Revision{6};
+        auto assignment = single.assignment;
+        assignment.epoch = Epoch{4};
+        send(single,
+             FetchedState{instanceId("far"), std::make_shared<const Configuration>(configuration),
+                          std::make_shared<const Assignment>(assignment)});
+        THEN("both stay")
+        {
+            CHECK(currentView(*single.state)->configuration->revision == Revision{7});
+            CHECK(currentView(*single.state)->assignment->epoch == Epoch{5});
+        }
+    }
+    GIVEN("a newer assignment of another cell")
+    {
+        auto assignment = single.assignment;
+        assignment.cell = "other";
+        assignment.epoch = Epoch{9};
+        send(single, FetchedState{instanceId("far"), nullptr,
+                                  std::make_shared<const Assignment>(assignment)});
+        THEN("it isn't applied, since cells don't span regions")
+        {
+            CHECK(currentView(*single.state)->assignment->epoch == Epoch{5});
+        }
+    }
+}
+
+SCENARIO("a heartbeat is answered with the newest epoch known")
+{
+    auto single = makeSingle();
+    send(single, stateOf(member("far", "b"), Epoch{4}));
+    REQUIRE(actionsOf<SendHeartbeatReply>(single).size() == 1);
+    CHECK(actionsOf<SendHeartbeatReply>(single).front().reply.state.epoch == Epoch{5});
+}
+
+SCENARIO("shares go on, are lost and are taken over")
+{
+    auto single = makeSingle();
+    auto lease = Lease();
+    lease.self = single.settings.self.id;
+    lease.incarnation = single.settings.self.incarnation;
+    auto membership = Membership();
+    membership.self = lease.self;
+    membership.selfIncarnation = lease.incarnation;
+    membership.suspectAfter = 2s;
+    const auto now = TimePoint(100s);
+    const auto wait = single.settings.leaseTime + single.settings.clockDrift;
+    const auto advance = [&](const Assignment &assignment, TimePoint time) {
+        return advanceTakeover(lease, assignment, membership, single.settings, time);
+    };
+    const auto acknowledge = [&](const Member &from, Epoch epoch) {
+        noteHeartbeat(membership, stateOf(from, epoch), now);
+    };
+    auto index = buildLeafIndex(single.configuration);
+
+    GIVEN("an assignment that names a former incarnation or somebody who isn't a member")
+    {
+        // Guards against an instance that restarted and goes on with what it held.
+        lease.incarnation = Incarnation{2};
+        adoptShares(lease, nullptr, single.assignment);
+        CHECK(lease.shares.empty());
+        auto stale = single.assignment;
+        for (auto &share : stale.shares)
+            share.holderIncarnation = Incarnation{2};
+        adoptShares(lease, nullptr, stale);
+        CHECK(lease.shares.empty());
+    }
+    GIVEN("shares that nobody held before")
+    {
+        adoptShares(lease, nullptr, single.assignment);
+        REQUIRE(!lease.shares.empty());
+        WHEN("voters in two failure domains know nothing of the epoch")
+        {
+            acknowledge(member("near", "a"), Epoch{4});
+            acknowledge(member("far", "b"), Epoch{4});
+            advance(single.assignment, now);
+            THEN("no wait starts")
+            {
+                CHECK(!advance(single.assignment, now + 1h));
+                CHECK(heldShares(lease, index).empty());
+            }
+        }
+        WHEN("only voters in one failure domain are unaware of it")
+        {
+            acknowledge(member("near", "a"), Epoch{5});
+            advance(single.assignment, now);
+            THEN("the shares are held after the lease time and the drift")
+            {
+                CHECK(!advance(single.assignment, now + wait - 1us));
+                CHECK(heldShares(lease, index).empty());
+                CHECK(advance(single.assignment, now + wait));
+                CHECK(heldShares(lease, index).size() == lease.shares.size());
+            }
+        }
+        WHEN("a retired member in a second failure domain is unaware of it")
+        {
+            // Guards against a removed member that still runs and renews others.
+            single.assignment.retired.push_back(member("removed", "c"));
+            acknowledge(member("near", "a"), Epoch{5});
+            advance(single.assignment, now);
+            THEN("the wait starts only when it acknowledges or is gone")
+            {
+                CHECK(!advance(single.assignment, now + 1h));
+                acknowledge(member("removed", "c"), Epoch{5});
+                advance(single.assignment, now + 1h);
+                CHECK(advance(single.assignment, now + 1h + wait));
+            }
+        }
+    }
+    GIVEN("shares that are taken, and the next epoch moves one of them")
+    {
+        adoptShares(lease, nullptr, single.assignment);
+        acknowledge(member("far", "b"), Epoch{5});
+        acknowledge(member("near", "a"), Epoch{5});
+        advance(single.assignment, now);
+        REQUIRE(advance(single.assignment, now + wait));
+        const auto count = lease.shares.size();
+        auto next = single.assignment;
+        next.epoch = Epoch{6};
+        auto &moved = *std::ranges::find(next.shares, lease.self, &Share::holder);
+        moved.formerHolder = lease.self;
+        moved.formerIncarnation = lease.incarnation;
+        moved.holder = instanceId("near");
+        moved.since = next.epoch;
+        WHEN("the instance learns of it")
+        {
+            adoptShares(lease, &single.assignment, next);
+            advance(next, now + wait);
+            THEN("the others go on at once")
+            {
+                CHECK(heldShares(lease, index).size() == count - 1);
+            }
+            THEN("the lost one is reported as released only when its requests have ended")
+            {
+                CHECK(lease.drained < Epoch{6});
+                lease.dispatchDrained = Epoch{6};
+                advance(next, now + wait);
+                CHECK(lease.drained == Epoch{6});
+            }
+        }
+        WHEN("the instance missed an epoch in between")
+        {
+            // Guards against the release of a share that somebody else held in the missed epoch.
+            next.epoch = Epoch{7};
+            adoptShares(lease, &single.assignment, next);
+            lease.dispatchDrained = Epoch{7};
+            advance(next, now + wait);
+            THEN("it reports nothing as released before older leases have ended")
+            {
+                CHECK(lease.drained < Epoch{7});
+                acknowledge(member("far", "b"), Epoch{7});
+                advance(next, now + wait);
+                advance(next, now + 2 * wait);
+                CHECK(lease.drained == Epoch{7});
+            }
+        }
+    }
+    GIVEN("a share that moves again before its takeover was complete")
+    {
+        adoptShares(lease, nullptr, single.assignment);
+        acknowledge(member("near", "a"), Epoch{5});
+        auto next = single.assignment;
+        next.epoch = Epoch{6};
+        for (auto &share : next.shares) {
+            if (share.holder == lease.self) {
+                share.formerHolder = lease.self;
+                share.formerIncarnation = lease.incarnation;
+                share.holder = instanceId("near");
+                share.since = next.epoch;
+            }
+        }
+        adoptShares(lease, &single.assignment, next);
+        lease.dispatchDrained = Epoch{6};
+        advance(next, now);
+        THEN("its holder can't vouch for whoever used it before")
+        {
+            CHECK(lease.drained < Epoch{6});
+        }
+    }
+    GIVEN("shares that moved here from a member that is still there")
+    {
+        auto next = single.assignment;
+        next.epoch = Epoch{6};
+        for (auto &share : next.shares) {
+            share.holder = lease.self;
+            share.holderIncarnation = lease.incarnation;
+            share.formerHolder = instanceId("far");
+            share.formerIncarnation = Incarnation{1};
+            share.since = next.epoch;
+        }
+        adoptShares(lease, &single.assignment, next);
+        WHEN("it reports them as released")
+        {
+            auto state = stateOf(member("far", "b"), Epoch{6});
+            state.drained = Epoch{6};
+            noteHeartbeat(membership, state, now);
+            THEN("they are used at once")
+            {
+                CHECK(advance(next, now));
+                CHECK(heldShares(lease, index).size() == next.shares.size());
+            }
+        }
+        WHEN("its next incarnation reports that it has released everything")
+        {
+            auto state = stateOf(member("far", "b", 2), Epoch{6});
+            state.drained = Epoch{6};
+            noteHeartbeat(membership, state, now);
+            THEN("that says nothing of the former incarnation's shares")
+            {
+                CHECK(!advance(next, now));
+            }
+        }
+    }
+}
+
+SCENARIO("the instance list lags behind the actual state")
+{
+    auto membership = Membership();
+    membership.self = instanceId("self");
+    membership.suspectAfter = 2s;
+    const auto now = TimePoint(1000s);
+    const auto peer = member("peer", "b", 2);
+    addPeer(membership, peer, now);
+    const auto isGone = [&] { return findPeer(membership, peer.id, peer.incarnation)->gone; };
+    const auto entry = [&](std::uint64_t incarnation) {
+        return std::vector<ListedInstance>{
+                {peer.name, peer.address, Incarnation{incarnation}, false}};
+    };
+    const auto none = std::vector<ListedInstance>();
+
+    SECTION("an instance that was listed and is absent now is gone")
+    {
+        noteInstanceList(membership, entry(2), now);
+        CHECK(!isGone());
+        noteInstanceList(membership, none, now + 2s);
+        CHECK(isGone());
+    }
+    SECTION("an instance that isn't listed yet isn't gone")
+    {
+        noteInstanceList(membership, none, now);
+        CHECK(!isGone());
+        SECTION("but is after a minute")
+        {
+            for (auto time = now; time <= now + 60s; time += 2s)
+                noteInstanceList(membership, none, time);
+            CHECK(isGone());
+        }
+        SECTION("unless the list wasn't read in between")
+        {
+            noteInstanceList(membership, none, now + 60s);
+            CHECK(!isGone());
+        }
+    }
+    SECTION("an absent instance that still speaks isn't gone")
+    {
+        noteInstanceList(membership, entry(2), now);
+        noteHeartbeat(membership, stateOf(peer, Epoch{1}), now + 1s);
+        noteInstanceList(membership, none, now + 2s);
+        CHECK(!isGone());
+    }
+    SECTION("the entry of a former incarnation proves nothing when it goes")
+    {
+        noteInstanceList(membership, entry(1), now);
+        noteInstanceList(membership, none, now + 2s);
+        CHECK(!isGone());
+    }
+    SECTION("an entry without incarnation may be the former one's for as long as the list lags")
+    {
+        noteInstanceList(membership, entry(0), now + 10s);
+        noteInstanceList(membership, none, now + 12s);
+        CHECK(!isGone());
+        noteInstanceList(membership, entry(0), now + 61s);
+        noteInstanceList(membership, none, now + 63s);
+        CHECK(isGone());
+    }
+    SECTION("a newer incarnation at the same address replaces the instance")
+    {
+        SECTION("as listed")
+        {
+            noteInstanceList(membership, entry(3), now);
+            CHECK(isGone());
+        }
+        SECTION("as heard")
+        {
+            noteHeartbeat(membership, stateOf(member("peer", "b", 3), Epoch{1}), now);
+            CHECK(isGone());
+        }
+    }
+    SECTION("a newer incarnation at another address proves nothing")
+    {
+        auto moved = member("peer", "b", 3);
+        moved.address = "elsewhere:1";
+        noteHeartbeat(membership, stateOf(moved, Epoch{1}), now);
+        CHECK(!isGone());
+        CHECK(isSuperseded(membership, *findPeer(membership, peer.id, peer.incarnation)));
+    }
+    SECTION("an instance that was paused itself suspects nobody at once")
+    {
+        noteHeartbeat(membership, stateOf(peer, Epoch{1}), now);
+        noteTime(membership, now);
+        noteTime(membership, now + 30s);
+        const auto &found = *findPeer(membership, peer.id, peer.incarnation);
+        CHECK(!isSuspected(membership, found, now + 30s));
+        CHECK(isSuspected(membership, found, now + 32s + 1us));
+    }
+}
+
+SCENARIO("a cell starts")
+{
+    GIVEN("seven instances that start together")
+    {
+        auto world = makeRunningCell({"a", "b", "c", "a", "b", "c", "a"});
+        THEN("they join with few writes")
+        {
+            // Guards against members that all write an assignment for the same change.
+            CHECK(world.store.writes <= 10);
+        }
+        AND_WHEN("nothing happens for ten minutes")
+        {
+            const auto writes = world.store.writes;
+            const auto epoch = epochOf(world, 0);
+            runFor(world, 600s);
+            THEN("nothing is written")
+            {
+                CHECK(world.store.writes == writes);
+                CHECK(epochOf(world, 0) == epoch);
+                CHECK(allSharesHeld(world));
+            }
+            THEN("two members watch the configuration")
+            {
+                CHECK(world.store.watches.size() == 2);
+            }
+        }
+        AND_WHEN("the configuration changes")
+        {
+            changeSomething(world);
+            THEN("it is in force everywhere within a second")
+            {
+                CHECK(runUntilHolds(world, 1s, newestInForce));
+            }
+        }
+        AND_WHEN("every watch is silent and the configuration changes")
+        {
+            for (auto &watch : world.store.watches)
+                watch.silent = true;
+            changeSomething(world);
+            THEN("the periodic reads find it")
+            {
+                CHECK(runUntilHolds(world, 3s, newestInForce));
+                AND_THEN("the watches are made anew")
+                {
+                    runFor(world, 2s);
+                    const auto working = std::ranges::count_if(
+                            world.store.watches,
+                            [](const PendingWatch &watch) { return !watch.silent; });
+                    CHECK(working == 2);
+                }
+            }
+        }
+        AND_WHEN("an instance leaves")
+        {
+            const auto leaving = nodeByRank(world, 3);
+            deliver(world, leaving, StopRequested{});
+            THEN("its shares are released and used elsewhere before a lease could end")
+            {
+                CHECK(runUntilHolds(world, 3s, [&](World &later) {
+                    return !isMemberNow(later, leaving) && !mayUseShares(later, leaving)
+                           && allSharesHeld(later);
+                }));
+                CHECK(world.violation.empty());
+            }
+        }
+        AND_WHEN("the member that writes assignments leaves")
+        {
+            deliver(world, nodeByRank(world, 0), StopRequested{});
+            THEN("it removes itself")
+            {
+                CHECK(runUntilHolds(world, 3s, [&](World &later) {
+                    return !isMemberNow(later, nodeByRank(later, 0)) && allSharesHeld(later);
+                }));
+            }
+        }
+        AND_WHEN("a leaf's slots are lowered")
+        {
+            auto changed = *world.store.configuration;
+            auto &leaf = changed.services.front().leafs.front();
+            leaf.slots = 3;
+            const auto id = leaf.id;
+            putConfiguration(world, changed);
+            THEN("the new sizes are in use within seconds, and never with the old ones")
+            {
+                CHECK(runUntilHolds(world, 4s, [&](World &later) {
+                    auto slots = 0;
+                    for (const auto &usage : allUsages(later))
+                        slots += usage.leaf == id ? usage.size.slots : 0;
+                    return slots == 3 && allSharesHeld(later);
+                }));
+                CHECK(world.violation.empty());
+            }
+        }
+        AND_WHEN("an instance restarts with a new incarnation")
+        {
+            const auto restarted = nodeByRank(world, 2);
+            stop(world, restarted);
+            start(world, restarted);
+            runFor(world, 20ms);
+            THEN("it holds nothing until it is a member again and has taken its shares over")
+            {
+                CHECK(!mayUseShares(world, restarted));
+                CHECK(runUntilHolds(world, 15s, [&](World &later) {
+                    return isMemberNow(later, restarted) && mayUseShares(later, restarted)
+                           && allSharesHeld(later);
+                }));
+                CHECK(world.violation.empty());
+            }
+        }
+        AND_WHEN("replies of the store are lost after writes took effect, and an instance dies")
+        {
+            world.store.lostReplies = 1;
+            const auto writes = world.store.writes;
+            stop(world, nodeByRank(world, 5));
+            runFor(world, 8s);
+            world.store.lostReplies = 0;
+            THEN("the write is found by reading back and isn't repeated")
+            {
+                CHECK(runUntilHolds(world, 15s, allSharesHeld));
+                CHECK(world.store.writes - writes <= 3);
+                CHECK(!isMemberNow(world, nodeByRank(world, 5)));
+            }
+        }
+    }
+}
+
+SCENARIO("the cases of the table in the design page")
+{
+    auto world = makeRunningCell({"a", "b", "c", "a", "b", "c"});
+    const auto victim = nodeByRank(world, 5);
+    const auto epoch = epochOf(world, 0);
+
+    GIVEN("the store is down for all")
+    {
+        world.store.down = true;
+        runFor(world, 600s);
+        THEN("all shares stay in use, renewed by peers, and no assignment changes")
+        {
+            CHECK(allSharesHeld(world));
+            CHECK(epochOf(world, 0) == epoch);
+        }
+        AND_WHEN("a holder dies")
+        {
+            stop(world, victim);
+            runFor(world, 60s);
+            THEN("the others go on, and its shares aren't taken over")
+            {
+                CHECK(epochOf(world, nodeByRank(world, 0)) == epoch);
+                CHECK(mayUseShares(world, nodeByRank(world, 0)));
+                CHECK(!allSharesHeld(world));
+            }
+            AND_WHEN("the store comes back")
+            {
+                world.store.down = false;
+                THEN("they are")
+                {
+                    CHECK(runUntilHolds(world, 20s, allSharesHeld));
+                }
+            }
+        }
+        AND_WHEN("an instance starts")
+        {
+            const auto added = addNode(world, "new", "b");
+            changeSomething(world); // accepted before the outage, from the new instance's view
+            start(world, added);
+            runFor(world, 10s);
+            THEN("it learns the state from peers, and holds no share")
+            {
+                CHECK(epochOf(world, added) == epoch);
+                CHECK(revisionOf(world, added) == revisionOf(world, 0));
+                CHECK(!mayUseShares(world, added));
+            }
+        }
+    }
+    GIVEN("the store is down for one instance")
+    {
+        world.nodes[victim].cutFromStore = true;
+        changeSomething(world);
+        const auto leaver = nodeByRank(world, 3);
+        deliver(world, leaver, StopRequested{});
+        runFor(world, 30s);
+        THEN("it goes on, and learns new epochs and revisions from peers")
+        {
+            CHECK(mayUseShares(world, victim));
+            CHECK(epochOf(world, victim) > epoch);
+            CHECK(epochOf(world, victim) == world.store.assignment->epoch);
+            CHECK(revisionOf(world, victim) == world.store.configuration->revision);
+        }
+    }
+    GIVEN("a holder is paused past its lease")
+    {
+        pause(world, victim, 3500ms);
+        runFor(world, 3s);
+        THEN("its lease still runs, by its own clock, and nobody else uses its shares")
+        {
+            CHECK(mayUseShares(world, victim));
+        }
+        AND_WHEN("the pause goes on past the lease")
+        {
+            pause(world, victim, 20s);
+            runFor(world, 2s);
+            CHECK(!mayUseShares(world, victim));
+            CHECK(runUntilHolds(world, 12s, allSharesHeld));
+            AND_WHEN("it resumes")
+            {
+                runFor(world, 8s);
+                THEN("it joins again by a conditional update, and no share had two users")
+                {
+                    CHECK(runUntilHolds(world, 20s, [&](World &later) {
+                        return isMemberNow(later, victim) && mayUseShares(later, victim);
+                    }));
+                    CHECK(world.violation.empty());
+                }
+            }
+        }
+    }
+    GIVEN("a holder is dead")
+    {
+        stop(world, victim);
+        runFor(world, 3900ms);
+        THEN("its shares aren't used by others while its lease may last")
+        {
+            CHECK(!allSharesHeld(world));
+        }
+        THEN("they are after the takeover")
+        {
+            CHECK(runUntilHolds(world, 8s, allSharesHeld));
+            CHECK(world.violation.empty());
+        }
+    }
+    GIVEN("two holders in different failure domains are dead, and the instance list lags")
+    {
+        world.listLag = 30s;
+        runFor(world, 60s);
+        stop(world, nodeByRank(world, 4));
+        stop(world, victim);
+        REQUIRE(world.nodes[victim].member.domain
+                != world.nodes[nodeByRank(world, 4)].member.domain);
+        runFor(world, 25s);
+        THEN("the takeover waits until the list shows that one of them is gone")
+        {
+            CHECK(!allSharesHeld(world));
+            CHECK(runUntilHolds(world, 15s, allSharesHeld));
+            CHECK(world.violation.empty());
+        }
+    }
+    GIVEN("a whole failure domain is lost, and the instance list is unreachable")
+    {
+        world.listDown = true;
+        for (std::size_t index = 0; index < world.nodes.size(); ++index) {
+            if (world.nodes[index].member.domain == domainId("b"))
+                stop(world, index);
+        }
+        THEN("its shares are taken over without the list")
+        {
+            CHECK(runUntilHolds(world, 15s, allSharesHeld));
+            CHECK(world.violation.empty());
+        }
+    }
+    GIVEN("one instance is cut off from its peers but not from the store")
+    {
+        cutOff(world, victim);
+        runFor(world, 20s);
+        THEN("the others remove it and it stops, though it runs")
+        {
+            CHECK(!isMemberNow(world, victim));
+            CHECK(!mayUseShares(world, victim));
+            CHECK(world.store.assignment->members.size() == 5);
+            CHECK(allSharesHeld(world));
+        }
+        AND_WHEN("the cut ends")
+        {
+            world.carrier.cut.clear();
+            THEN("it joins again")
+            {
+                CHECK(runUntilHolds(world, 20s, [&](World &later) {
+                    return isMemberNow(later, victim) && mayUseShares(later, victim);
+                }));
+            }
+        }
+    }
+    GIVEN("one instance is cut off from everything")
+    {
+        cutOff(world, victim);
+        world.nodes[victim].cutFromStore = true;
+        runFor(world, 4100ms);
+        THEN("it stops at the end of its own lease")
+        {
+            CHECK(!mayUseShares(world, victim));
+        }
+    }
+    GIVEN("a failure domain is taken out by operators")
+    {
+        auto changed = *world.store.configuration;
+        changed.domains[1].decision.state = DesiredState::Out;
+        putConfiguration(world, changed);
+        THEN("its instances hand over their shares within seconds and stay members")
+        {
+            CHECK(runUntilHolds(world, 5s, [](World &later) {
+                return allSharesHeld(later)
+                       && std::ranges::none_of(allUsages(later), [&](const Usage &usage) {
+                              return later.nodes[usage.node].member.domain == domainId("b");
+                          });
+            }));
+            CHECK(world.store.assignment->members.size() == 6);
+            CHECK(world.violation.empty());
+        }
+    }
+}
+
+SCENARIO("a cell in one failure domain")
+{
+    auto world = makeRunningCell({"a", "a", "a"});
+    GIVEN("the store is down")
+    {
+        world.store.down = true;
+        runFor(world, 5s);
+        THEN("no lease is renewed, since members of one failure domain don't renew each other")
+        {
+            for (std::size_t index = 0; index < world.nodes.size(); ++index)
+                CHECK(!mayUseShares(world, index));
+        }
+        AND_WHEN("it comes back")
+        {
+            world.store.down = false;
+            CHECK(runUntilHolds(world, 8s, allSharesHeld));
+        }
+    }
+}
+
+SCENARIO("targets in the instance list")
+{
+    auto single = makeSingle();
+    const auto &leaf = single.configuration.services.front().leafs.front();
+    send(single, InstanceListReply{true, {{"leaf-0", leaf.address, {}, true}}});
+    THEN("the view shows a leaf that is leaving")
+    {
+        CHECK(currentView(*single.state)->listing.at(leaf.id) == TargetListing::Leaving);
+        CHECK(!actionsOf<PublishView>(single).empty());
+    }
+    WHEN("the list can't be read")
+    {
+        send(single, InstanceListReply{});
+        THEN("the last one is kept")
+        {
+            CHECK(currentView(*single.state)->listing.contains(leaf.id));
+        }
+    }
+}
