--- a/core/account.h
+++ b/core/account.h
@@ -21,6 +21,7 @@
     Duration queued = {}; // waiting for a slot at the holder
     Duration connecting = {}; // opening a connection to the target
     Duration target = {}; // from the request's send to the target's reply
+    Duration unanswered = {}; // of an attempt that was given up without a reply
 };
 
 // One attempt as the query core saw it.
@@ -98,4 +99,18 @@
     std::deque<AccountPeriod> periods; // newest last
 };
 
+// The period of now, made if there is none yet; the oldest ones are dropped.
+auto currentPeriod(RollingAccounts &accounts, TimePoint now) -> AccountPeriod &;
+
+// Adds one ended attempt to its service and its target.
+auto addAttempt(RollingAccounts &accounts, ServiceId service, const AttemptAccount &attempt,
+                TimePoint now) -> void;
+
+auto add(AccountSums &sums, const AccountSums &other) -> void;
+auto add(ServiceSums &sums, const ServiceSums &other) -> void;
+
+// Sums of a service, or of a target, over all periods kept.
+auto sumOf(const RollingAccounts &accounts, ServiceId service) -> ServiceSums;
+auto sumOf(const RollingAccounts &accounts, LeafId leaf) -> AccountSums;
+
 } // namespace crocusreach
