--- a/tests/core_control_random.cpp
+++ b/tests/core_control_random.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t shortRunWorlds = 6;
+constexpr std::size_t shortRunWorlds = 40;
 constexpr std::uint64_t defaultSeed = 20260801;
 
 auto environmentNumber(const char *name, std::uint64_t fallback) -> std::uint64_t
@@ -104,7 +104,7 @@
 }
 
 // A change by one operator, decided on what the operator read some time before.
-auto changeConfiguration(World &world, std::shared_ptr<const Configuration> read) -> void
+auto changeConfiguration(World &world, const std::shared_ptr<const Configuration> &read) -> void
 {
     if (read->revision != world.store.configuration->revision) {
         ++world.counts["refused changes"];
