--- a/core/query.cpp
+++ b/core/query.cpp
@@ -324,7 +324,8 @@
                "a reply names another shard or leaf than its attempt"))
         return;
     noteServed(state.snapshots, query.service->id, reply.leaf, reply.layout, reply.servedVersions);
-    // Version 0 stands for an unknown version, so rows without a version can't be part of a snapshot.
+    // Version 0 stands for an unknown version, so rows without a version can't be part of a
+    // snapshot.
     if (reply.reason == Reason::None && number(reply.version) == 0)
         reply.reason = Reason::BadReply;
     removeAttempt(state, query, received.attempt);
--- a/instance/main.cpp
+++ b/instance/main.cpp
@@ -71,7 +71,7 @@
 {
     startLog(severityFromString(settings.logLevel));
     setViolationHandler(&logViolation);
-    auto started = Instance::start(settings);
+    auto started = Instance::start(settings, CROCUSREACH_VERSION);
     if (failed(started)) {
         const auto text = describe(std::get<Error>(started));
         logEvent(LogEvent::StartFailed, {{"error", text}});
--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -1,6 +1,7 @@
 #include "instance.h"
 
 #include "clock.h"
+#include "core/diagnosis.h"
 #include "log.h"
 
 #include "formats/configurationjson.h"
@@ -67,7 +68,7 @@
 
 } // namespace
 
-Instance::Instance(const Settings &settings, EmbeddedObjects objects)
+Instance::Instance(const Settings &settings, std::string_view version, EmbeddedObjects objects)
     : settings(settings)
     , self(instanceId(settings.instance))
 {
@@ -79,8 +80,16 @@
     this->stopTimer = std::make_unique<WakeTimer>(g_main_context_get_thread_default(),
                                                   [this] { this->continueStop(); });
 
+    this->makePlatformTasks(std::move(objects));
+    this->makeQueryTask();
+    this->makeDispatchTask();
+    this->makeAdminTask(version);
+}
+
+auto Instance::makePlatformTasks(EmbeddedObjects objects) -> void
+{
     this->store = std::make_unique<StoreTask>(
-            StoreAddresses{settings.storeAddress, settings.instanceListAddress},
+            StoreAddresses{this->settings.storeAddress, this->settings.instanceListAddress},
             std::move(objects));
     for (std::size_t index = 0; index < targetThreads; ++index)
         this->targets.push_back(std::make_unique<TargetTask>(
@@ -91,39 +100,60 @@
             this->self, [this](QueryEvent &&event) { this->query->post(std::move(event)); },
             [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); },
             [this](ControlEvent &&event) { this->control->post(std::move(event)); }});
+}
 
-    auto queryOutlets = QueryOutlets();
-    queryOutlets.self = this->self;
-    queryOutlets.dispatch
-            = [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); };
-    queryOutlets.peerRequest
-            = [this](SendLeafRequest &&send) { this->peer->post(std::move(send)); };
-    queryOutlets.peerCancel = [this](SendCancel &&send) { this->peer->post(std::move(send)); };
-    queryOutlets.store = [this](ObjectCall &&call) { this->store->post(std::move(call)); };
-    queryOutlets.front = [this](QueryAnswered &&answer) {
+auto Instance::makeQueryTask() -> void
+{
+    auto outlets = QueryOutlets();
+    outlets.self = this->self;
+    outlets.dispatch = [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); };
+    outlets.peerRequest = [this](SendLeafRequest &&send) { this->peer->post(std::move(send)); };
+    outlets.peerCancel = [this](SendCancel &&send) { this->peer->post(std::move(send)); };
+    outlets.store = [this](ObjectCall &&call) { this->store->post(std::move(call)); };
+    outlets.front = [this](QueryAnswered &&answer) {
         recordAnswer(this->measured, answer);
         this->front->post(std::move(answer));
     };
-    queryOutlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
-    this->query = std::make_unique<QueryTask>("query", makeQueryState(settings.query, seed()),
-                                              performQueryActions(std::move(queryOutlets)));
-
-    auto dispatchOutlets = DispatchOutlets();
-    dispatchOutlets.self = this->self;
-    dispatchOutlets.target
-            = [this](TargetMessage &&message) { this->sendToTarget(std::move(message)); };
-    dispatchOutlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
-    dispatchOutlets.peer = [this](LeafReplyTo &&reply) { this->peer->post(std::move(reply)); };
-    dispatchOutlets.control
-            = [this](ControlEvent &&event) { this->control->post(std::move(event)); };
+    outlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
+    this->query = std::make_unique<QueryTask>("query", makeQueryState(this->settings.query, seed()),
+                                              performQueryActions(std::move(outlets)));
+}
+
+auto Instance::makeDispatchTask() -> void
+{
+    auto outlets = DispatchOutlets();
+    outlets.self = this->self;
+    outlets.target = [this](TargetMessage &&message) { this->sendToTarget(std::move(message)); };
+    outlets.query = [this](QueryEvent &&event) { this->query->post(std::move(event)); };
+    outlets.peer = [this](LeafReplyTo &&reply) { this->peer->post(std::move(reply)); };
+    outlets.control = [this](ControlEvent &&event) { this->control->post(std::move(event)); };
     this->dispatch
-            = std::make_unique<DispatchTask>("dispatch", makeDispatchState(settings.dispatch),
-                                             performDispatchActions(std::move(dispatchOutlets)));
+            = std::make_unique<DispatchTask>("dispatch", makeDispatchState(this->settings.dispatch),
+                                             performDispatchActions(std::move(outlets)));
+}
+
+// The answers that need the newest view or the metrics are given by this thread.
+auto Instance::makeAdminTask(std::string_view version) -> void
+{
+    auto admin = AdminSettings();
+    admin.tokens = this->settings.adminTokens;
+    admin.instance = this->settings.instance;
+    admin.version = version;
+    auto ports = AdminPorts();
+    ports.callStore = [this](ObjectCall &&call) { this->store->post(std::move(call)); };
+    ports.askLeafStatus = [this](LeafStatusAsked &&asked) {
+        this->dispatch->post(DispatchTask::Inspect{
+                [asked](const DispatchState &state) { asked.reply(leafStatus(state)); }});
+    };
+    ports.askExplain = [this](ExplainAsked &&asked) { this->mailbox.post(std::move(asked)); };
+    ports.askMetrics = [this](MetricsAsked &&asked) { this->mailbox.post(std::move(asked)); };
+    this->admin = std::make_unique<AdminTask>(std::move(admin), std::move(ports));
 }
 
 Instance::~Instance()
 {
     // A task that posts ends before the ones that it posts to are destroyed.
+    this->admin->stop();
     this->front->stop();
     this->peer->stop();
     for (auto &target : this->targets)
@@ -136,13 +166,14 @@
     this->mailbox.detach();
 }
 
-auto Instance::start(const Settings &settings) -> Result<std::unique_ptr<Instance>>
+auto Instance::start(const Settings &settings, std::string_view version)
+        -> Result<std::unique_ptr<Instance>>
 {
     auto objects = embeddedObjects(settings);
     if (failed(objects))
         return std::get<Error>(std::move(objects));
     auto instance = std::unique_ptr<Instance>(
-            new Instance(settings, std::get<EmbeddedObjects>(std::move(objects))));
+            new Instance(settings, version, std::get<EmbeddedObjects>(std::move(objects))));
     auto addresses = instance->openListeners();
     if (failed(addresses))
         return std::get<Error>(std::move(addresses));
@@ -164,8 +195,13 @@
     if (failed(callerAddress))
         return std::get<Error>(std::move(callerAddress));
     addresses.caller = std::get<std::string>(std::move(callerAddress));
+    auto adminAddress = this->admin->listen(this->settings.adminAddress);
+    if (failed(adminAddress))
+        return std::get<Error>(std::move(adminAddress));
+    addresses.admin = std::get<std::string>(std::move(adminAddress));
     logEvent(LogEvent::ListenerOpened, {{"listener", "peer"}, {"address", addresses.peer}});
     logEvent(LogEvent::ListenerOpened, {{"listener", "caller"}, {"address", addresses.caller}});
+    logEvent(LogEvent::ListenerOpened, {{"listener", "admin"}, {"address", addresses.admin}});
     return addresses;
 }
 
@@ -185,6 +221,7 @@
     this->query->start();
     this->dispatch->start();
     this->control->start();
+    this->peer->start();
     this->metricsTimer->setDelay(metricsInterval.count());
 }
 
@@ -193,6 +230,7 @@
     this->query->post(ViewChanged{published});
     this->dispatch->post(ViewChanged{published});
     this->peer->post(ViewChanged{published});
+    this->admin->post(ViewChanged{published});
     this->mailbox.post(ViewChanged{published});
 }
 
@@ -227,6 +265,20 @@
     this->updateServing();
 }
 
+auto Instance::handle(const ExplainAsked &asked) -> void
+{
+    const auto *service = this->view == nullptr
+                                  ? nullptr
+                                  : findService(*this->view->configuration, asked.service);
+    if (service == nullptr)
+        return asked.reply(ExplainAnswer{false, {}});
+    this->query->post(
+            QueryTask::Inspect{[asked, service, view = this->view](const QueryState &state) {
+                const auto diagnosis = diagnose(accounts(state), *view, *service);
+                asked.reply(ExplainAnswer{true, {explainText(diagnosis)}});
+            }});
+}
+
 auto Instance::logChanges(const ClusterView &newer) const -> void
 {
     const auto *former = this->view.get();
--- a/runtime/instance.h
+++ b/runtime/instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admintask.h"
 #include "controltask.h"
 #include "dispatchtask.h"
 #include "formats/settings.h"
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -42,7 +44,8 @@
     std::size_t count = 0;
 };
 
-using InstanceMessage = std::variant<ViewChanged, QueriesRunning, RequestsRunning>;
+using InstanceMessage
+        = std::variant<ViewChanged, QueriesRunning, RequestsRunning, ExplainAsked, MetricsAsked>;
 
 // Belongs to the thread that makes it; its messages are delivered in that thread's default main
 // context.
@@ -50,7 +53,8 @@
 {
 public:
     // Fills the embedded store, opens the listeners and starts the tasks.
-    static auto start(const Settings &settings) -> Result<std::unique_ptr<Instance>>;
+    static auto start(const Settings &settings, std::string_view version)
+            -> Result<std::unique_ptr<Instance>>;
 
     Instance(const Instance &) = delete;
     auto operator=(const Instance &) -> Instance & = delete;
@@ -74,7 +78,12 @@
         std::size_t requests = 1;
     };
 
-    Instance(const Settings &settings, EmbeddedObjects objects);
+    Instance(const Settings &settings, std::string_view version, EmbeddedObjects objects);
+
+    auto makePlatformTasks(EmbeddedObjects objects) -> void;
+    auto makeQueryTask() -> void;
+    auto makeDispatchTask() -> void;
+    auto makeAdminTask(std::string_view version) -> void;
 
     auto openListeners() -> Result<InstanceAddresses>;
     auto startCores() -> void;
@@ -83,6 +92,8 @@
     auto handle(const ViewChanged &change) -> void;
     auto handle(const QueriesRunning &running) -> void { this->stop.queries = running.count; }
     auto handle(const RequestsRunning &running) -> void { this->stop.requests = running.count; }
+    auto handle(const ExplainAsked &asked) -> void;
+    auto handle(const MetricsAsked &asked) -> void { asked.reply(writeMetrics(this->measured)); }
     auto logChanges(const ClusterView &view) const -> void;
     auto updateServing() -> void;
     auto collectMetrics() -> void;
@@ -107,6 +118,7 @@
     std::unique_ptr<QueryTask> query;
     std::unique_ptr<DispatchTask> dispatch;
     std::unique_ptr<ControlTask> control;
+    std::unique_ptr<AdminTask> admin;
 };
 
 } // namespace crocusreach
--- a/runtime/peertask.cpp
+++ b/runtime/peertask.cpp
@@ -95,10 +95,14 @@
         while (this->queue->Next(&completion.tag, &completion.ok))
             this->mailbox.post(completion);
     });
-    this->thread.run([this] { this->acceptLink(); });
     return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
 }
 
+auto PeerTask::start() -> void
+{
+    this->thread.run([this] { this->acceptLink(); });
+}
+
 auto PeerTask::stop() -> void
 {
     if (std::exchange(this->stopped, true))
--- a/runtime/peertask.h
+++ b/runtime/peertask.h
@@ -53,6 +53,8 @@
 
     // Opens the listener and returns its real address. To be called once.
     auto listen(const std::string &address) -> Result<std::string>;
+    // Accepts streams. Streams that peers opened earlier wait until then.
+    auto start() -> void;
     auto post(PeerCommand command) -> void { this->mailbox.post(std::move(command)); }
     // Cancels all streams and ends the threads.
     auto stop() -> void;
