--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -6,6 +6,7 @@
 
 #include "formats/configurationjson.h"
 
+#include <algorithm>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -60,6 +61,17 @@
     return control;
 }
 
+// True while another member can still take the shares over, so that ending now would leave them
+// unused until the lease has run out.
+auto awaitsRelease(const ClusterView &view) -> bool
+{
+    const auto canTake = [&](const PeerView &peer) {
+        return peer.reachable && !peer.leaving && findMember(*view.assignment, peer.id) != nullptr;
+    };
+    return !view.held.empty() && view.storeReachable
+           && std::any_of(view.peers.begin(), view.peers.end(), canTake);
+}
+
 auto seed() -> std::uint64_t
 {
     auto device = std::random_device();
@@ -341,7 +353,7 @@
         this->updateServing();
     }
     const auto quiet = this->stop.refusing && this->stop.queries == 0 && this->stop.requests == 0
-                       && (this->view == nullptr || this->view->held.empty());
+                       && (this->view == nullptr || !awaitsRelease(*this->view));
     if (!quiet)
         this->stop.quietSince.reset();
     else if (!this->stop.quietSince)
