--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -105,7 +105,8 @@
     if (status != SOUP_STATUS_OK)
         return reply;
     try {
-        for (const auto &entry : nlohmann::json::parse(body).at("instances"))
+        const auto document = nlohmann::json::parse(body);
+        for (const auto &entry : document.at("instances"))
             reply.instances.push_back(readInstance(entry));
         reply.answered = true;
     } catch (const nlohmann::json::exception &) {
