--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -106,8 +106,9 @@
         return reply;
     try {
         const auto document = nlohmann::json::parse(body);
-        for (const auto &entry : document.at("instances"))
-            reply.instances.push_back(readInstance(entry));
+        const auto &instances = document.at("instances");
+        for (std::size_t index = 0; index < instances.size(); ++index)
+            reply.instances.push_back(readInstance(instances.at(index)));
         reply.answered = true;
     } catch (const nlohmann::json::exception &) {
         // A list that can't be read must not look like one without instances.
