--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -105,8 +105,10 @@
     if (status != SOUP_STATUS_OK)
         return reply;
     try {
-        for (const auto &entry : nlohmann::json::parse(body).at("instances"))
-            reply.instances.push_back(readInstance(entry));
+        const auto document = nlohmann::json::parse(body);
+        const auto &instances = document.at("instances");
+        for (std::size_t index = 0; index < instances.size(); ++index)
+            reply.instances.push_back(readInstance(instances.at(index)));
         reply.answered = true;
     } catch (const nlohmann::json::exception &) {
         // A list that can't be read must not look like one without instances.
