--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -103,7 +103,7 @@
 }
 
 // Sends a change, and prints its revision and where it is in force.
-auto change(const Options &options, ApiCall call) -> ExitCode
+auto change(const Options &options, const ApiCall &call) -> ExitCode
 {
     const auto reply = callAny(options, call);
     if (reply.status != 200)
@@ -174,17 +174,18 @@
         call.path += "?confirm=" + options.confirm;
     }
     call.changeId = changeIdOf(options);
-    return change(options, std::move(call));
+    return change(options, call);
 }
 
 // Reads all pages of a list. The key names the field that the next page starts after.
 auto readPages(const Options &options, const std::string &path, const char *list, const char *key)
         -> ApiReply
 {
+    const auto first = path + "?limit=" + std::string(pageSize);
     auto all = Json::array();
     auto after = std::string();
     while (true) {
-        auto page = callAny(options, {"GET", path + "?limit=" + std::string(pageSize) + after});
+        auto page = callAny(options, {"GET", first + after});
         if (page.status != 200)
             return page;
         for (const auto &item : page.body[list])
@@ -236,7 +237,7 @@
     body["reason"] = options.reason;
     body["change_id"] = call.changeId;
     call.body = writeJson(body);
-    return change(options, std::move(call));
+    return change(options, call);
 }
 
 // The revision that 'config get' wrote into the first line.
@@ -264,7 +265,7 @@
     auto call = ApiCall{"PUT", "/admin/v1/configuration", text};
     call.changeId = changeIdOf(options);
     call.expectedRevision = std::to_string(*revision);
-    return change(options, std::move(call));
+    return change(options, call);
 }
 
 auto runConfigurationFile(const Options &options) -> ExitCode
