--- a/ctl/apicall.cpp
+++ b/ctl/apicall.cpp
@@ -96,14 +96,17 @@
     auto last = ApiReply();
     auto unknown = false;
     while (true) {
+        auto failures = std::string();
         for (const auto &address : options.addresses) {
             last = callOne(options, call, address);
+            failures += (failures.empty() ? "" : "; ") + last.failure;
             unknown = unknown || last.outcomeUnknown;
             if (last.status != 0 && last.status != SOUP_STATUS_SERVICE_UNAVAILABLE) {
                 last.outcomeUnknown = false;
                 return last;
             }
         }
+        last.failure = failures;
         last.outcomeUnknown = unknown;
         if (!unknown || Clock::now() + retryPause >= deadline)
             return last;
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -133,8 +133,14 @@
     return !text.empty() && std::ranges::all_of(text, allowed);
 }
 
-auto printSheetErrors(const Options &options, std::span<const Error> errors) -> ExitCode
+// An instance also knows which items are declared. Without one, the errors of the text are told.
+auto reportBadSheet(const Options &options, const std::string &sheet, std::span<const Error> errors)
+        -> ExitCode
 {
+    const auto call = ApiCall{"POST", "/admin/v1/sheet/check", sheet, "text/csv"};
+    const auto reply = callAny(options, call);
+    if (reply.status == 400)
+        return reportFailure(options, call, reply);
     auto text = std::string("the sheet is wrong; nothing was changed");
     for (const auto &error : errors)
         text += "\n  " + error.peer + ": " + error.text;
@@ -157,10 +163,9 @@
     if (failed(text))
         return fail(options, "usage", describe(std::get<Error>(text)), ExitCode::BadUsage);
     const auto &sheet = std::get<std::string>(text);
-    // Errors in the file are told even if no instance can be reached.
     const auto parsed = parseSheet(sheet);
-    if (const auto *errors = std::get_if<std::vector<Error>>(&parsed))
-        return printSheetErrors(options, *errors);
+    if (!parsed.errors.empty())
+        return reportBadSheet(options, sheet, parsed.errors);
     auto call = ApiCall{"POST", "/admin/v1/sheet/" + words[1], sheet, "text/csv"};
     if (words[1] == "check")
         return query(options, call, checkedSheetText);
--- a/ctl/text.cpp
+++ b/ctl/text.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <span>
 #include <vector>
 
@@ -73,6 +74,22 @@
     return "  " + (place.empty() ? "" : place + ": ") + fieldText(detail, "message") + "\n";
 }
 
+// One line for each kind and state.
+auto unlistedText(const Json &unlisted) -> std::string
+{
+    if (unlisted.empty())
+        return {};
+    auto groups = std::map<std::string, std::string>();
+    for (const auto &item : unlisted) {
+        auto &names = groups[fieldText(item, "kind") + " " + fieldText(item, "state")];
+        names += (names.empty() ? "" : ", ") + fieldText(item, "name");
+    }
+    auto text = std::to_string(unlisted.size()) + " items not listed; they keep their state\n";
+    for (const auto &[group, names] : groups)
+        text += "  " + group + ": " + names + "\n";
+    return text;
+}
+
 } // namespace
 
 auto planText(const Json &plan) -> std::string
@@ -86,13 +103,7 @@
         const auto reason = fieldText(change, "reason");
         text += (reason.empty() ? "" : " (" + reason + ")") + "\n";
     }
-    const auto unlisted = listOf(plan, "unlisted");
-    if (!unlisted.empty())
-        text += std::to_string(unlisted.size()) + " items not listed; they keep their state\n";
-    for (const auto &item : unlisted) {
-        text += "  " + fieldText(item, "kind") + " " + fieldText(item, "name") + ": "
-                + fieldText(item, "state") + "\n";
-    }
+    text += unlistedText(listOf(plan, "unlisted"));
     const auto confirmations = listOf(plan, "confirmations");
     if (!confirmations.empty())
         text += "to be confirmed\n";
--- a/formats/sheetcsv.cpp
+++ b/formats/sheetcsv.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t columnCount = 4;
 constexpr std::array<std::string_view, columnCount> columnNames
         = {"kind", "name", "state", "reason"};
-constexpr std::size_t longestAuthor = 64;
+constexpr std::size_t longestName = 64;
 constexpr std::size_t longestReason = 200;
 
 struct Record
@@ -206,7 +206,7 @@
     sheet.author = record.fields[2];
     if (sheet.author.empty())
         addError(errors, record.line, "the author is empty");
-    checkText(record, "the author", sheet.author, longestAuthor, errors);
+    checkText(record, "the author", sheet.author, longestName, errors);
     const auto count = parseCount(record.fields[3]);
     if (!count)
         addError(errors, record.line, "the number of rows must be a whole number");
@@ -230,6 +230,7 @@
 
 auto readRow(const Record &record, Sheet &sheet, SheetErrors &errors) -> void
 {
+    const auto errorsBefore = errors.list.size() + errors.omitted;
     if (!checkFieldCount(record, errors))
         return;
     const auto kind = parseKind(record.fields[0]);
@@ -240,9 +241,11 @@
         addError(errors, record.line, "the state must be in or out");
     if (record.fields[1].empty())
         addError(errors, record.line, "the name is empty");
-    checkText(record, "the name", record.fields[1], longestAuthor, errors);
+    checkText(record, "the name", record.fields[1], longestName, errors);
     checkText(record, "the reason", record.fields[3], longestReason, errors);
-    sheet.rows.push_back({record.line, kind.value_or(ItemKind::Domain), record.fields[1],
+    if (errors.list.size() + errors.omitted > errorsBefore)
+        return;
+    sheet.rows.push_back({record.line, *kind, record.fields[1],
                           state == "out" ? DesiredState::Out : DesiredState::In, record.fields[3]});
 }
 
@@ -282,18 +285,16 @@
 
 } // namespace
 
-auto parseSheet(std::string_view text) -> std::variant<Sheet, std::vector<Error>>
+auto parseSheet(std::string_view text) -> ParsedSheet
 {
     auto errors = SheetErrors();
     const auto records = splitRecords(text, errors);
     auto sheet = readRecords(records, errors);
-    if (errors.list.empty())
-        return sheet;
     if (errors.omitted > 0) {
         errors.list.push_back(
                 {Step::Sheet, "sheet", "and " + std::to_string(errors.omitted) + " more errors"});
     }
-    return errors.list;
+    return {std::move(sheet), std::move(errors.list)};
 }
 
 } // namespace crocusreach
--- a/formats/sheetcsv.h
+++ b/formats/sheetcsv.h
@@ -4,7 +4,6 @@
 #include "core/types.h"
 
 #include <string_view>
-#include <variant>
 #include <vector>
 
 // The sheet as CSV: a header row "sheet,<exported-at>,<author>,<rows>", a column row
@@ -15,9 +14,17 @@
 // More errors than this are counted in a last one.
 constexpr std::size_t reportedSheetErrors = 100;
 
-// Accepts a byte-order mark, LF or CRLF, quoted fields, blanks around fields and empty lines. Every
-// error has Step::Sheet and "line N" as peer. A last line without its line end, or another number
-// of rows than the header says, counts as truncated.
-auto parseSheet(std::string_view text) -> std::variant<Sheet, std::vector<Error>>;
+// A sheet may be applied only if there are no errors. With errors it has the rows that are right,
+// so that these can be checked too.
+struct ParsedSheet
+{
+    Sheet sheet;
+    std::vector<Error> errors; // Step::Sheet, "line N" as peer
+};
+
+// Accepts a byte-order mark, LF or CRLF, quoted fields, blanks around fields and empty lines. A
+// last line without its line end, or another number of rows than the header says, counts as
+// truncated.
+auto parseSheet(std::string_view text) -> ParsedSheet;
 
 } // namespace crocusreach
--- a/formats/timetext.cpp
+++ b/formats/timetext.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+using std::chrono::sys_days;
+using std::chrono::year;
+
+constexpr auto earliestTime = WallTime(sys_days(year(1970) / 1 / 1));
+constexpr auto latestTime = WallTime(sys_days(year(10000) / 1 / 1));
+
 // Takes a number of exactly the given count of digits off the front.
 auto takeDigits(std::string_view &text, std::size_t count) -> std::optional<int>
 {
@@ -126,7 +132,11 @@
     const auto offset = takeOffset(text);
     if (!offset || !text.empty())
         return std::nullopt;
-    return WallTime(*date + *clock + *seconds - *offset);
+    const auto time = WallTime(*date + *clock + *seconds - *offset);
+    // An offset can move the time out of the years that have four digits.
+    if (time < earliestTime || time >= latestTime)
+        return std::nullopt;
+    return time;
 }
 
 } // namespace crocusreach
--- a/runtime/adminanswers.cpp
+++ b/runtime/adminanswers.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <optional>
 
 namespace crocusreach {
@@ -137,13 +138,14 @@
 auto answerSheet(const Configuration &configuration, std::string_view body, SheetDetail detail,
                  WallTime now) -> HttpAnswer
 {
-    const auto parsed = parseSheet(body);
-    if (const auto *errors = std::get_if<std::vector<Error>>(&parsed))
-        return badSheet(*errors);
-    const auto &sheet = std::get<Sheet>(parsed);
+    auto parsed = parseSheet(body);
+    const auto &sheet = parsed.sheet;
     const auto plan = planSheet(sheet, configuration, now);
-    if (!plan.errors.empty())
-        return badSheet(plan.errors);
+    // Errors of rows come with errors of the text, so that one correction is enough.
+    if (!sheet.rows.empty())
+        std::ranges::copy(plan.errors, std::back_inserter(parsed.errors));
+    if (!parsed.errors.empty())
+        return badSheet(parsed.errors);
     if (detail == SheetDetail::Summary)
         return {200, writePlanSummary(plan, sheet.rows.size())};
     return {200, writePlan(plan)};
@@ -153,11 +155,11 @@
                      std::string_view author) -> std::variant<ChangeRequest, HttpAnswer>
 {
     auto parsed = parseSheet(body);
-    if (const auto *errors = std::get_if<std::vector<Error>>(&parsed))
-        return badSheet(*errors);
+    if (!parsed.errors.empty())
+        return badSheet(parsed.errors);
     return ChangeRequest{
             headers.changeId, std::string(author),
-            ApplySheet{std::get<Sheet>(std::move(parsed)), std::string(fieldOf(query, "confirm"))}};
+            ApplySheet{std::move(parsed.sheet), std::string(fieldOf(query, "confirm"))}};
 }
 
 auto readConfigurationChange(std::string_view body, const ChangeHeaders &headers,
--- a/tests/formats_configuration.cpp
+++ b/tests/formats_configuration.cpp
@@ -119,7 +119,8 @@
     const auto time = parseTime("2026-12-04T12:00:00.250+05:30");
     REQUIRE(time.has_value());
     CHECK(writeTime(*time) == "2026-12-04T06:30:00.250Z");
-    for (const auto *bad : {"", "2026-02-30T00:00:00Z", "2026-12-04 06:30:00Z", "2026-12-04T06:30",
-                            "2026-12-04T24:00:00Z", "2026-12-04T06:30:00Zx"})
+    for (const auto *bad :
+         {"", "2026-02-30T00:00:00Z", "2026-12-04 06:30:00Z", "2026-12-04T06:30",
+          "2026-12-04T24:00:00Z", "9999-12-31T23:59:00-01:00", "2026-12-04T06:30:00Zx"})
         CHECK_FALSE(parseTime(bad).has_value());
 }
--- a/tests/formats_sheet.cpp
+++ b/tests/formats_sheet.cpp
@@ -17,11 +17,8 @@
 // The errors as "line N: text" lines.
 auto errorsOf(const std::string &text) -> std::string
 {
-    const auto result = parseSheet(text);
-    if (std::holds_alternative<Sheet>(result))
-        return "";
     auto lines = std::string();
-    for (const auto &error : std::get<std::vector<Error>>(result))
+    for (const auto &error : parseSheet(text).errors)
         lines += error.peer + ": " + error.text + "\n";
     return lines;
 }
@@ -38,8 +35,8 @@
                            "\r\n"
                            "service, catalogue-1 ,in,\r\n";
         const auto result = parseSheet(text);
-        REQUIRE(std::holds_alternative<Sheet>(result));
-        const auto &sheet = std::get<Sheet>(result);
+        REQUIRE(result.errors.empty());
+        const auto &sheet = result.sheet;
         THEN("byte-order mark, line ends, quotes and blanks are understood")
         {
             CHECK(writeTime(sheet.exportedAt) == "2026-12-04T06:30:00.000Z");
@@ -63,6 +60,12 @@
                      "line 5: the state must be in or out\n"
                      "line 5: the name is empty\n");
         }
+        THEN("no wrong row is kept")
+        {
+            const auto result = parseSheet(withRows("2", "rack,a,in,\ndomain,b,out,\n"));
+            REQUIRE(result.sheet.rows.size() == 1);
+            CHECK(result.sheet.rows[0].name == "b");
+        }
     }
     GIVEN("a sheet cut off at any byte")
     {
