Start the ramp again when a share is lost before it is complete

A holder of both shares of a leaf that lost one kept the cold slots of both, and reported the share as drained while more requests ran than the remaining cold slots. In the fake target a request whose connection was closed on the way no longer runs.

--- a/core/dispatch.cpp
+++ b/core/dispatch.cpp
@@ -489,8 +489,7 @@
         if (!leaf.used)
             continue;
         const auto limits = rampLimits(leaf);
-        const auto allowed
-                = state.settings.coldRamp ? allowedRequests(leaf.cold, limits) : limits.slots;
+        const auto allowed = allowedNow(leaf, state.settings);
         auto row = LeafStatus();
         row.leaf = leaf.id;
         row.running = leaf.running;
--- a/core/dispatchview.cpp
+++ b/core/dispatchview.cpp
@@ -210,6 +210,7 @@
             continue;
         if (gaveUpShare(state, leaf, before[index]))
             state.drain.pending = view->assignment->epoch;
+        resizeRamp(leaf, before[index].size, now);
         updateLeaf(state, leaf, now, actions);
         refuseIneligible(state, leaf, now, actions);
         retireLeaf(state, index, actions);
@@ -222,7 +223,9 @@
     auto &drain = state.drain;
     if (!drain.pending || !drain.unprovable.empty())
         return;
-    const auto exceeds = [](const LeafState &leaf) { return leaf.used && exceedsLimits(leaf); };
+    const auto exceeds = [&](const LeafState &leaf) {
+        return leaf.used && exceedsLimits(leaf, state.settings);
+    };
     if (std::ranges::any_of(state.leafs, exceeds))
         return;
     actions.emplace_back(SharesDrained{*drain.pending});
--- a/core/sending.cpp
+++ b/core/sending.cpp
@@ -11,11 +11,6 @@
 // With less time than this left of the lease a target could not serve any request.
 constexpr Duration shortestUsefulLease = std::chrono::milliseconds(1);
 
-auto allowedNow(const DispatchState &state, const LeafState &leaf) -> std::uint32_t
-{
-    return state.settings.coldRamp ? allowedRequests(leaf.cold, rampLimits(leaf)) : leaf.size.slots;
-}
-
 auto makeReply(const LeafState *leaf, const LeafRequest &request, Outcome outcome, Reason reason)
         -> LeafReply
 {
@@ -83,7 +78,7 @@
     const auto &mutations = state.mutations;
     if (leaf.running >= leaf.size.slots && !mutations.ignoreSlots)
         return false;
-    return runningOnCurrent(leaf) < allowedNow(state, leaf) || mutations.ignoreSlots
+    return runningOnCurrent(leaf) < allowedNow(leaf, state.settings) || mutations.ignoreSlots
            || mutations.ignoreColdSlots;
 }
 
@@ -135,7 +130,7 @@
         return;
     check(usage.unverified <= leaf.size.coldSlots, Invariant::ColdLimit,
           "more requests on unverified connections than the shares held have cold slots");
-    check(runningOnCurrent(leaf) <= allowedNow(state, leaf), Invariant::ColdLimit,
+    check(runningOnCurrent(leaf) <= allowedNow(leaf, state.settings), Invariant::ColdLimit,
           "more requests than the ramp allows");
 }
 
@@ -273,7 +268,8 @@
     if (leaseEndsFirst && left <= std::max(shortest, shortestUsefulLease)
         && !state.mutations.ignoreLease)
         return Reason::NoLease;
-    const auto load = LoadEstimate{ahead, leaf.running, allowedNow(state, leaf), shortest, typical};
+    const auto load = LoadEstimate{ahead, leaf.running, allowedNow(leaf, state.settings), shortest,
+                                   typical};
     return refusalByDeadline(load, request.deadline, now);
 }
 
--- a/core/targets.cpp
+++ b/core/targets.cpp
@@ -40,6 +40,11 @@
            && number(connection.start) != 0;
 }
 
+auto allowedNow(const LeafState &leaf, const DispatchSettings &settings) -> std::uint32_t
+{
+    return settings.coldRamp ? allowedRequests(leaf.cold, rampLimits(leaf)) : leaf.size.slots;
+}
+
 auto runningOnCurrent(const LeafState &leaf) -> std::uint32_t
 {
     auto count = std::uint32_t(0);
@@ -64,10 +69,11 @@
     return usage;
 }
 
-auto exceedsLimits(const LeafState &leaf) -> bool
+auto exceedsLimits(const LeafState &leaf, const DispatchSettings &settings) -> bool
 {
     const auto usage = countUsage(leaf);
-    return usage.running > leaf.size.slots || usage.unverified > leaf.size.coldSlots
+    return usage.running > leaf.size.slots || runningOnCurrent(leaf) > allowedNow(leaf, settings)
+           || usage.unverified > leaf.size.coldSlots
            || usage.connections > usableConnections(leaf.size);
 }
 
@@ -130,6 +136,14 @@
         leaf.connections.pop_back();
 }
 
+auto resizeRamp(LeafState &leaf, const ShareSize &before, TimePoint now) -> void
+{
+    const auto complete = leaf.cold.allowed >= before.slots;
+    const auto smaller = leaf.size.slots < before.slots || leaf.size.coldSlots < before.coldSlots;
+    if (smaller && !complete)
+        restartRamp(leaf.cold, rampLimits(leaf), now);
+}
+
 auto startCold(LeafState &leaf, TimePoint now) -> void
 {
     doubtIdentity(leaf.cold);
--- a/core/targets.h
+++ b/core/targets.h
@@ -93,6 +93,9 @@
 // True if the connection has shown the identity of the current process.
 auto isVerified(const LeafState &leaf, const Connection &connection) -> bool;
 
+// Concurrency that the leaf may get now.
+auto allowedNow(const LeafState &leaf, const DispatchSettings &settings) -> std::uint32_t;
+
 // Requests that the current process may be running.
 auto runningOnCurrent(const LeafState &leaf) -> std::uint32_t;
 
@@ -107,7 +110,7 @@
 auto countUsage(const LeafState &leaf) -> Usage;
 
 // True if what the leaf uses exceeds its limits, because a share was lost or became smaller.
-auto exceedsLimits(const LeafState &leaf) -> bool;
+auto exceedsLimits(const LeafState &leaf, const DispatchSettings &settings) -> bool;
 
 // Connections that could carry the next request.
 struct ConnectionChoice
@@ -129,6 +132,10 @@
 // Marks idle connections closed and forgets those that exceed the limits.
 auto closeIdleConnections(LeafState &leaf) -> void;
 
+// Fits the ramp to limits that have changed. A ramp that isn't complete starts again if they became
+// smaller: its concurrency was that of the larger share.
+auto resizeRamp(LeafState &leaf, const ShareSize &before, TimePoint now) -> void;
+
 // Starts the ramp again and treats all connections as unverified.
 auto startCold(LeafState &leaf, TimePoint now) -> void;
 
--- a/tests/core_dispatch.cpp
+++ b/tests/core_dispatch.cpp
@@ -940,6 +940,25 @@
                         CHECK(take<SharesDrained>(world).size() == 1);
                     }
                 }
+                // Guards against a ramp that keeps the cold slots of a share that moved away.
+                AND_WHEN("all are verified and one share is lost during the ramp")
+                {
+                    for (const auto &send : sends)
+                        give(world, makeReply(send, "start-1"));
+                    CHECK(take<TargetSend>(world).size() == 3);
+                    world.assignment.epoch = Epoch(2);
+                    world.assignment.shares[1].holder = instanceId("two");
+                    world.assignment.shares[1].since = Epoch(2);
+                    world.assignment.shares[1].formerHolder = instanceId("one");
+                    world.assignment.shares[1].formerIncarnation = Incarnation(1);
+                    world.view.held.pop_back();
+                    publish(world);
+                    THEN("three verified requests are one more than the other share's cold slots")
+                    {
+                        CHECK(statusOf(world, leaf).allowed == 2);
+                        CHECK(take<SharesDrained>(world).empty());
+                    }
+                }
             }
         }
     }
--- a/tests/core_dispatch_random.cpp
+++ b/tests/core_dispatch_random.cpp
@@ -195,10 +195,32 @@
     finishSend(simulation, holder, send.send, makeFailure(send, outcome, reason), delay);
 }
 
+// What runs at a target, for a failure's message.
+auto describeRunning(const Simulation &simulation, const FakeTarget &target) -> std::string
+{
+    auto text = target.leaf.name + " start " + std::to_string(target.start) + " at "
+                + std::to_string(simulation.now.time_since_epoch().count()) + " us, cold until "
+                + std::to_string(target.coldUntil.time_since_epoch().count()) + '\n';
+    for (const auto &[key, running] : target.running) {
+        const auto &holder = simulation.holders[key.first];
+        const auto found = holder.sent.find(key.second);
+        text += "holder " + std::to_string(key.first) + " send "
+                + std::to_string(number(key.second)) + " deadline "
+                + std::to_string(running.deadline.time_since_epoch().count());
+        if (found != holder.sent.end())
+            text += found->second.send.mayConnect ? " unverified" : " verified";
+        text += running.unseenCancel ? " cancel unseen\n" : "\n";
+    }
+    return text;
+}
+
 auto checkTarget(const Simulation &simulation, const FakeTarget &target) -> void
 {
     const auto seen = std::ranges::count_if(
             target.running, [](const auto &entry) { return !entry.second.unseenCancel; });
+    if (seen <= target.leaf.coldSlots)
+        return;
+    INFO(describeRunning(simulation, target));
     REQUIRE(seen <= target.leaf.slots);
     if (simulation.now < target.coldUntil)
         REQUIRE(seen <= target.leaf.coldSlots);
@@ -267,7 +289,8 @@
     const auto &sent = simulation.holders[holder].sent;
     const auto &connection = simulation.holders[holder].connections[{send.leaf, send.connection}];
     // The send was cancelled, or a restart has already reported it as lost.
-    if (!sent.contains(send.send) || !target.up || target.start != start)
+    const auto found = sent.find(send.send);
+    if (found == sent.end() || found->second.closing || !target.up || target.start != start)
         return;
     if (connection.silent && chance(simulation, 0.5))
         return;
