--- a/core/query.cpp
+++ b/core/query.cpp
@@ -2,6 +2,7 @@
 
 #include "invariants.h"
 #include "merge.h"
+#include "queryaccount.h"
 #include "queryattempts.h"
 #include "queryclaim.h"
 #include "querystate.h"
@@ -23,7 +24,7 @@
 
 // Answers a request that was not planned.
 auto refuse(QueryState &state, const QueryArrived &request, Outcome outcome, Reason reason,
-            std::string_view text, QueryActions &actions) -> void
+            std::string_view text, TimePoint now, QueryActions &actions) -> void
 {
     auto answer = QueryAnswered();
     answer.query = request.query;
@@ -33,6 +34,14 @@
     answer.text = text;
     ++state.counters.refused;
     ++state.counters.refusalsByReason[index(reason)];
+    // An undeclared name gets no account, so that callers can't fill the memory with them.
+    if (state.view != nullptr
+        && findService(*state.view->configuration, request.service) != nullptr) {
+        auto &sums = currentPeriod(state.accounts, now).services[serviceId(request.service)];
+        ++sums.queries;
+        ++sums.refused;
+        ++sums.refusals[index(reason)];
+    }
     actions.emplace_back(std::move(answer));
 }
 
@@ -181,7 +190,7 @@
                                   : std::nullopt;
     if (excluded && number(chooseSnapshot(state.snapshots, *service, excluded).version) == 0)
         return false;
-    cancelAll(state, query, actions);
+    cancelAll(state, query, Reason::Cancelled, now, actions);
     ++query.restarts;
     ++state.counters.restarts;
     plan(state, query, excluded, now, actions);
@@ -213,11 +222,11 @@
         return {Reason::StoreUnavailable, "this instance has no configuration yet"};
     if (isSelfOut(*state.view))
         return {Reason::InstanceOut, "operators have taken this instance out"};
-    if (const auto fault = validRequest(request); !fault.empty())
-        return {Reason::BadRequest, fault};
     const auto *service = findService(*state.view->configuration, request.service);
     if (service == nullptr)
         return {Reason::UnknownService, "no such service"};
+    if (const auto fault = validRequest(request); !fault.empty())
+        return {Reason::BadRequest, fault};
     if (service->decision.state == DesiredState::Out)
         return {Reason::ServiceOut, "operators have taken this service out"};
     if (state.queries.size() >= state.settings.queriesInFlight)
@@ -239,7 +248,7 @@
                               || refusal.reason == Reason::BadRequest
                               || refusal.reason == Reason::UnknownService;
         refuse(state, request, provable ? Outcome::NotRun : Outcome::Unknown, refusal.reason,
-               refusal.text, actions);
+               refusal.text, now, actions);
         return;
     }
     auto &query = state.queries[request.query];
@@ -258,50 +267,20 @@
     finishIfResolved(state, query, now, actions);
 }
 
-auto onEvent(QueryState &state, const CallerGone &gone, TimePoint /*now*/, QueryActions &actions)
+auto onEvent(QueryState &state, const CallerGone &gone, TimePoint now, QueryActions &actions)
         -> void
 {
     const auto found = state.queries.find(gone.query);
     // A non-idempotent request goes on, so that its outcome is recorded.
     if (found == state.queries.end() || !found->second.request.idempotent)
         return;
-    cancelAll(state, found->second, actions);
+    cancelAll(state, found->second, Reason::Cancelled, now, actions);
     ++state.counters.callersGone;
     state.queries.erase(found);
 }
 
-// Adds an ended attempt to the rolling accounts, and to the query's own if it was asked for.
-auto accountFor(QueryState &state, RunningQuery &query, const Attempt &attempt,
-                const LeafReply &reply, bool merged, TimePoint now) -> void
-{
-    auto account = AttemptAccount();
-    account.shard = attempt.shard;
-    account.leaf = attempt.share.leaf;
-    account.holder = attempt.holder;
-    account.outcome = reply.outcome;
-    account.reason = reply.reason;
-    account.step = reply.step;
-    account.hedge = attempt.hedge;
-    account.retry = attempt.retry;
-    account.merged = merged;
-    account.cold = reply.targetState == TargetState::Cold;
-    account.startedAfter = attempt.sentAt - query.arrivedAt;
-    account.elapsed = now - attempt.sentAt;
-    account.parts.queued = reply.timings.queued;
-    account.parts.connecting = reply.timings.connecting;
-    account.parts.target = reply.timings.target;
-    account.parts.network = std::max(account.elapsed - reply.timings.queued
-                                             - reply.timings.connecting - reply.timings.target,
-                                     Duration());
-    addAttempt(state.accounts, query.service->id, account, now);
-    if (query.request.explain) {
-        account.peer = reply.peer;
-        query.attempts.push_back(std::move(account));
-    }
-}
-
 // Deals with an attempt that gave no usable rows.
-auto onFailure(QueryState &state, RunningQuery &query, const Attempt &attempt,
+auto onFailure(QueryState &state, RunningQuery &query, const QueryAttempt &attempt,
                const LeafReply &reply, Reason reason, TimePoint now, QueryActions &actions) -> void
 {
     auto &shard = query.shards[attempt.shardIndex];
@@ -327,25 +306,27 @@
     return state.latency.emplace(leaf, makeLatencyHistogram()).first->second;
 }
 
-auto onEvent(QueryState &state, const LeafReply &received, TimePoint now, QueryActions &actions)
-        -> void
+auto onEvent(QueryState &state, LeafReply &&reply, TimePoint now, QueryActions &actions) -> void
 {
-    const auto found = state.attempts.find(received.attempt);
-    if (found == state.attempts.end()) {
+    const auto *found = findAttempt(state.attempts, reply.attempt);
+    if (found == nullptr) {
         ++state.counters.lateReplies;
-        completeLateClaim(state, received, actions);
+        completeLateClaim(state, reply, actions);
         return;
     }
-    const auto attempt = found->second;
+    const auto attempt = *found;
     auto &query = state.queries.at(attempt.query);
     auto &shard = query.shards[attempt.shardIndex];
-    auto reply = received;
     if (!check(reply.shard == attempt.shard && reply.leaf == attempt.share.leaf,
                Invariant::AnswerBelongsToQuery,
                "a reply names another shard or leaf than its attempt"))
         return;
     noteServed(state.snapshots, query.service->id, reply.leaf, reply.layout, reply.servedVersions);
-    removeAttempt(state, query, received.attempt);
+    // Version 0 stands for an unknown version, so rows without a version can't be part of a
+    // snapshot.
+    if (reply.reason == Reason::None && number(reply.version) == 0)
+        reply.reason = Reason::BadReply;
+    removeAttempt(state, query, reply.attempt);
     const auto succeeded = reply.outcome == Outcome::Done && reply.reason == Reason::None;
     query.mayHaveRun = query.mayHaveRun || reply.outcome != Outcome::NotRun;
     auto merged = MergeResult::Late;
@@ -359,10 +340,10 @@
     } else {
         noteRefusal(state.routing, attempt.share, reply.reason, now);
     }
-    accountFor(state, query, attempt, reply, merged == MergeResult::Merged, now);
+    accountForReply(state, query, attempt, reply, merged == MergeResult::Merged, now);
     if (merged == MergeResult::Merged) {
         state.counters.hedgeWins += attempt.hedge ? 1 : 0;
-        cancelShard(state, query, shard, actions);
+        cancelShard(state, query, shard, Reason::Cancelled, now, actions);
     } else if (merged == MergeResult::OtherSnapshot) {
         onFailure(state, query, attempt, reply, Reason::VersionNotServed, now, actions);
     } else if (!succeeded) {
@@ -374,24 +355,19 @@
 auto onEvent(QueryState &state, const HolderDisconnected &lost, TimePoint now,
              QueryActions &actions) -> void
 {
-    auto ended = std::vector<AttemptId>();
-    for (const auto &[id, attempt] : state.attempts) {
-        if (attempt.holder == lost.holder)
-            ended.push_back(id);
-    }
     const auto *peer = state.view == nullptr ? nullptr : findPeer(*state.view, lost.holder);
-    for (const auto id : ended) {
-        const auto found = state.attempts.find(id);
-        if (found == state.attempts.end())
+    for (const auto id : attemptsAt(state.attempts, lost.holder)) {
+        const auto *attempt = findAttempt(state.attempts, id);
+        if (attempt == nullptr)
             continue; // cancelled by the end of its query in this loop
         auto reply = LeafReply();
         reply.attempt = id;
-        reply.leaf = found->second.share.leaf;
-        reply.shard = found->second.shard;
+        reply.leaf = attempt->share.leaf;
+        reply.shard = attempt->shard;
         reply.reason = Reason::HolderLost;
         reply.step = Step::PeerCall;
         reply.peer = peer == nullptr ? "" : peer->name;
-        onEvent(state, reply, now, actions);
+        onEvent(state, std::move(reply), now, actions);
     }
 }
 
@@ -494,7 +470,7 @@
                     entry == nullptr ? std::string() : entry->leaf->address);
     }
     if (query.request.idempotent) {
-        cancelAll(state, query, actions);
+        cancelAll(state, query, Reason::DeadlineExceeded, now, actions);
         finish(state, query, now, actions);
         return;
     }
@@ -504,7 +480,7 @@
     for (const auto &tried : running.tried) {
         if (number(tried.running) != 0) {
             noteEnded(state.routing, tried.share);
-            state.attempts.erase(tried.running);
+            removeAttempt(state.attempts, tried.running);
         }
     }
 }
@@ -549,10 +525,13 @@
     return state;
 }
 
-auto handle(QueryState &state, const QueryEvent &event, TimePoint now, QueryActions &actions)
-        -> void
+auto handle(QueryState &state, QueryEvent event, TimePoint now, QueryActions &actions) -> void
 {
-    std::visit([&](const auto &happened) { onEvent(state, happened, now, actions); }, event);
+    std::visit(
+            [&](auto &&happened) {
+                onEvent(state, std::forward<decltype(happened)>(happened), now, actions);
+            },
+            std::move(event));
     runTimers(state, now, actions);
     state.handledAt = now;
 }
