Remember attempts in two insert-only sets

A profile showed a third of a decision's time in cache misses of the node-based map of recent attempts. Two flat sets that take turns need one miss each and no deletion. Health checks of leafs that were taken over together are spread over the interval.

--- a/core/attempts.cpp
+++ b/core/attempts.cpp
@@ -1,6 +1,7 @@
 #include "attempts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusreach {
 
@@ -9,42 +10,48 @@
 // A send id holds the attempt's index in its low bits.
 constexpr int indexBits = 24;
 constexpr std::uint64_t indexMask = (std::uint64_t(1) << indexBits) - 1;
-// Forgetting this many per arrival keeps up with any rate and never takes long at once.
-constexpr int forgottenPerArrival = 2;
-constexpr std::size_t firstRingSize = 256;
+constexpr std::size_t firstSetSize = 1024;
 
-auto growRing(AttemptMemory &memory) -> void
+auto hashKey(const AttemptKey &key) -> std::size_t
 {
-    auto larger = std::vector<RememberedKey>(std::max(firstRingSize, memory.ring.size() * 2));
-    for (std::size_t position = 0; position < memory.count; ++position)
-        larger[position] = memory.ring[(memory.first + position) % memory.ring.size()];
-    memory.ring = std::move(larger);
-    memory.first = 0;
+    return hashPair(number(key.origin), number(key.attempt));
 }
 
-auto append(AttemptMemory &memory, const RememberedKey &entry) -> void
+// The entry with this key, or the empty one where it belongs.
+template <typename Set>
+auto place(Set &set, const AttemptKey &key, std::size_t hash) -> decltype(set.entries.data())
 {
-    if (memory.count == memory.ring.size())
-        growRing(memory);
-    memory.ring[(memory.first + memory.count) % memory.ring.size()] = entry;
-    ++memory.count;
+    const auto mask = set.entries.size() - 1;
+    auto position = hash & mask;
+    while (set.entries[position].generation == set.generation && set.entries[position].key != key)
+        position = (position + 1) & mask;
+    return &set.entries[position];
 }
 
-auto forgetOldest(AttemptMemory &memory, TimePoint now) -> bool
+auto contains(const RememberedSet &set, const AttemptKey &key, std::size_t hash) -> bool
 {
-    if (memory.count == 0 || memory.ring[memory.first].until > now)
-        return false;
-    const auto key = memory.ring[memory.first].key;
-    memory.first = (memory.first + 1) % memory.ring.size();
-    --memory.count;
-    const auto found = memory.indexes.find(key);
-    if (found == memory.indexes.end())
-        return true;
-    if (found->second == endedAttempt)
-        memory.spareNodes.push_back(memory.indexes.extract(found));
-    else
-        append(memory, {key, now + attemptMemoryTime});
-    return true;
+    return set.count != 0 && place(set, key, hash)->generation == set.generation;
+}
+
+auto grow(RememberedSet &set) -> void
+{
+    const auto former = std::move(set.entries);
+    set.entries.assign(std::max(firstSetSize, former.size() * 2), {});
+    for (const auto &entry : former) {
+        if (entry.generation == set.generation)
+            *place(set, entry.key, hashKey(entry.key)) = entry;
+    }
+}
+
+auto clear(RememberedSet &set) -> void
+{
+    set.count = 0;
+    ++set.generation;
+    // After a wrap, entries of generations long past must not count.
+    if (set.generation == 0) {
+        set.entries.assign(set.entries.size(), {});
+        set.generation = 1;
+    }
 }
 
 } // namespace
@@ -86,46 +93,46 @@
     return index;
 }
 
-auto AttemptKeyHash::operator()(const AttemptKey &key) const -> std::size_t
+auto remember(AttemptMemory &memory, const AttemptKey &key) -> std::uint32_t *
 {
-    return hashPair(number(key.origin), number(key.attempt));
+    const auto hash = hashKey(key);
+    auto &recent = memory.recent;
+    if (recent.count * 2 >= recent.entries.size())
+        grow(recent);
+    auto *entry = place(recent, key, hash);
+    if (entry->generation == recent.generation || contains(memory.older, key, hash))
+        return nullptr;
+    *entry = {key, 0, recent.generation};
+    ++recent.count;
+    return &entry->index;
 }
 
-auto remember(AttemptMemory &memory, const AttemptKey &key, TimePoint now) -> bool
+auto forgetOld(AttemptMemory &memory, TimePoint now) -> bool
 {
-    for (auto step = 0; step < forgottenPerArrival && forgetOldest(memory, now); ++step) {
-    }
-    if (memory.spareNodes.empty()) {
-        if (!memory.indexes.emplace(key, endedAttempt).second)
-            return false;
-    } else {
-        auto node = std::move(memory.spareNodes.back());
-        memory.spareNodes.pop_back();
-        node.key() = key;
-        node.mapped() = endedAttempt;
-        auto inserted = memory.indexes.insert(std::move(node));
-        if (!inserted.inserted) {
-            memory.spareNodes.push_back(std::move(inserted.node));
-            return false;
-        }
-    }
-    append(memory, {key, now + attemptMemoryTime});
+    if (now - memory.recentSince < attemptMemoryTime)
+        return false;
+    clear(memory.older);
+    std::swap(memory.recent, memory.older);
+    memory.recentSince = now;
     return true;
 }
 
-auto setIndex(AttemptMemory &memory, const AttemptKey &key, std::uint32_t index) -> void
+auto findAttempt(const AttemptTable &table, const AttemptMemory &memory, const AttemptKey &key)
+        -> std::optional<std::uint32_t>
 {
-    const auto found = memory.indexes.find(key);
-    if (found != memory.indexes.end())
-        found->second = index;
-}
-
-auto findIndex(const AttemptMemory &memory, const AttemptKey &key) -> std::optional<std::uint32_t>
-{
-    const auto found = memory.indexes.find(key);
-    if (found == memory.indexes.end() || found->second == endedAttempt)
-        return std::nullopt;
-    return found->second;
+    const auto hash = hashKey(key);
+    for (const auto *set : {&memory.recent, &memory.older}) {
+        if (!contains(*set, key, hash))
+            continue;
+        const auto index = place(*set, key, hash)->index;
+        if (index >= table.attempts.size())
+            return std::nullopt;
+        const auto &attempt = table.attempts[index];
+        const auto same
+                = attempt.request.origin == key.origin && attempt.request.attempt == key.attempt;
+        return attempt.phase != AttemptPhase::Free && same ? std::optional(index) : std::nullopt;
+    }
+    return std::nullopt;
 }
 
 } // namespace crocusreach
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 // The leaf requests that wait or run at this holder, and the memory of those that ended.
@@ -68,41 +67,44 @@
     auto operator==(const AttemptKey &) const -> bool = default;
 };
 
-struct AttemptKeyHash
+struct RememberedAttempt
 {
-    auto operator()(const AttemptKey &key) const -> std::size_t;
+    AttemptKey key;
+    std::uint32_t index = 0; // into the attempt table
+    std::uint32_t generation = 0; // the entry is empty if this isn't the set's generation
 };
 
-constexpr std::uint32_t endedAttempt = 0xffffffff;
-
-struct RememberedKey
+// An insert-only hash table with linear probing. A new generation empties it at once.
+struct RememberedSet
 {
-    AttemptKey key;
-    TimePoint until = {};
+    std::vector<RememberedAttempt> entries; // a power of two
+    std::size_t count = 0;
+    std::uint32_t generation = 1;
 };
 
-// Every attempt that arrived lately, so that a duplicate of it never runs.
+// Every attempt that arrived lately, so that a duplicate of it never runs. At 24,400 requests a
+// second a node-based map took a third of the time of a decision in cache misses; this takes one
+// for each of the two sets.
 struct AttemptMemory
 {
-    using Map = std::unordered_map<AttemptKey, std::uint32_t, AttemptKeyHash>;
-
-    Map indexes; // endedAttempt once answered and released
-    std::vector<Map::node_type> spareNodes; // reused, so that steady state allocates nothing
-    std::vector<RememberedKey> ring; // in order of arrival
-    std::size_t first = 0; // position of the oldest in the ring
-    std::size_t count = 0;
+    RememberedSet recent;
+    RememberedSet older;
+    TimePoint recentSince = {};
 };
 
 // Longer than the longest deadline of a query (3 s) and a delay on the way between instances.
 constexpr auto attemptMemoryTime = std::chrono::seconds(5);
 
-// Records an arrival; false if the attempt arrived before. Forgets old ones.
-auto remember(AttemptMemory &memory, const AttemptKey &key, TimePoint now) -> bool;
+// Records an arrival and returns the place for its index, valid until the next call. Returns null
+// if the attempt arrived within the memory time.
+auto remember(AttemptMemory &memory, const AttemptKey &key) -> std::uint32_t *;
 
-// Sets the index under which the attempt is found, or endedAttempt.
-auto setIndex(AttemptMemory &memory, const AttemptKey &key, std::uint32_t index) -> void;
+// Forgets arrivals once they are older than the memory time. Returns true if it did: attempts that
+// haven't ended must then be remembered again.
+auto forgetOld(AttemptMemory &memory, TimePoint now) -> bool;
 
-// The index of an attempt that hasn't ended.
-auto findIndex(const AttemptMemory &memory, const AttemptKey &key) -> std::optional<std::uint32_t>;
+// The attempt with this key, unless it has ended.
+auto findAttempt(const AttemptTable &table, const AttemptMemory &memory, const AttemptKey &key)
+        -> std::optional<std::uint32_t>;
 
 } // namespace crocusreach
--- a/core/dispatch.cpp
+++ b/core/dispatch.cpp
@@ -47,12 +47,25 @@
     return Reason::None;
 }
 
+auto rememberRunning(DispatchState &state) -> void
+{
+    for (std::uint32_t index = 0; index < state.attempts.attempts.size(); ++index) {
+        const auto &attempt = state.attempts.attempts[index];
+        if (attempt.phase == AttemptPhase::Free)
+            continue;
+        if (auto *place = remember(state.memory, {attempt.request.origin, attempt.request.attempt}))
+            *place = index;
+    }
+}
+
 auto onLeafRequest(DispatchState &state, const LeafRequest &request, TimePoint now,
                    DispatchActions &actions) -> void
 {
-    const auto key = AttemptKey{request.origin, request.attempt};
+    if (forgetOld(state.memory, now))
+        rememberRunning(state);
     // A duplicate has its answer, or will get it.
-    if (!remember(state.memory, key, now))
+    auto *remembered = remember(state.memory, {request.origin, request.attempt});
+    if (remembered == nullptr)
         return;
     const auto leafIndex = heldLeaf(state, request);
     if (!leafIndex) {
@@ -69,7 +82,7 @@
     attempt.request = request;
     attempt.leaf = *leafIndex;
     attempt.arrived = now;
-    setIndex(state.memory, key, index);
+    *remembered = index;
     wait(state, index, now);
     check(leaf.waiting.entries.size() <= queueCapacity(state, leaf), Invariant::QueueBounded,
           "more requests wait than the queue may hold");
@@ -79,7 +92,7 @@
 auto onCancel(DispatchState &state, const CancelLeafRequest &cancel, TimePoint now,
               DispatchActions &actions) -> void
 {
-    const auto index = findIndex(state.memory, {cancel.origin, cancel.attempt});
+    const auto index = findAttempt(state.attempts, state.memory, {cancel.origin, cancel.attempt});
     if (!index)
         return;
     auto &attempt = state.attempts.attempts[*index];
--- a/core/dispatchview.cpp
+++ b/core/dispatchview.cpp
@@ -67,8 +67,10 @@
     state.leafs[index].used = true;
     state.leafs[index].id = id;
     state.leafIndexes[id] = index;
-    // Whether the target is leaving isn't known here yet, so its health is asked for at once.
-    arm(state.leafTimers, index, now);
+    // Spreads the health checks of many leafs over the interval.
+    const auto interval = std::max<std::int64_t>(1, state.settings.healthInterval.count());
+    const auto offset = number(id) % static_cast<std::uint64_t>(interval);
+    arm(state.leafTimers, index, now + Duration(static_cast<std::int64_t>(offset)));
     return index;
 }
 
@@ -165,8 +167,8 @@
     if (returned || relisted)
         startCold(leaf, now);
     resizeConnections(leaf, actions);
-    // While it was out nobody asked whether the target is leaving.
-    if (returned)
+    // For a leaf that is new here, or was out, nobody has asked whether the target is leaving.
+    if (returned || leaf.lastHeard == TimePoint())
         sendProbe(state, leaf, ProbeKind::Health, now, actions);
 }
 
--- a/core/sending.cpp
+++ b/core/sending.cpp
@@ -235,7 +235,6 @@
     if (attempt.phase != AttemptPhase::Waiting)
         freeConnection(state.leafs[attempt.leaf], number(attempt.connection));
     disarm(state.attemptTimers, index);
-    setIndex(state.memory, {attempt.request.origin, attempt.request.attempt}, endedAttempt);
     releaseAttempt(state.attempts, index);
 }
 
--- a/tests/core_dispatch_parts.cpp
+++ b/tests/core_dispatch_parts.cpp
@@ -112,35 +112,64 @@
         auto memory = AttemptMemory();
         const auto now = TimePoint(1h);
         const auto key = AttemptKey{InstanceId(1), AttemptId(2)};
-        CHECK(remember(memory, key, now));
+        forgetOld(memory, now);
+        CHECK(remember(memory, key) != nullptr);
         THEN("a duplicate is noticed, another origin's attempt isn't one")
         {
-            CHECK_FALSE(remember(memory, key, now + 4s));
-            CHECK(remember(memory, {InstanceId(2), AttemptId(2)}, now));
+            CHECK_FALSE(forgetOld(memory, now + 4s));
+            CHECK(remember(memory, key) == nullptr);
+            CHECK(remember(memory, {InstanceId(2), AttemptId(2)}) != nullptr);
         }
-        WHEN("many others arrive later")
+        WHEN("the memory time passes once")
         {
-            for (auto count = std::uint64_t(10); count < 100'000; ++count)
-                remember(memory, {InstanceId(1), AttemptId(count)}, now + Duration(count * 1000));
+            CHECK(forgetOld(memory, now + 5s));
+            THEN("the duplicate is still noticed")
+            {
+                CHECK(remember(memory, key) == nullptr);
+            }
+        }
+        WHEN("many others arrive over a long time")
+        {
+            for (auto count = std::uint64_t(10); count < 100'000; ++count) {
+                forgetOld(memory, now + Duration(static_cast<std::int64_t>(count) * 1000));
+                REQUIRE(remember(memory, {InstanceId(1), AttemptId(count)}) != nullptr);
+                REQUIRE(remember(memory, {InstanceId(1), AttemptId(count)}) == nullptr);
+                if (count > 4010)
+                    REQUIRE(remember(memory, {InstanceId(1), AttemptId(count - 4000)}) == nullptr);
+            }
             // Guards against a memory that grows with the number of requests.
             THEN("those that ended long ago are forgotten")
             {
-                CHECK(memory.indexes.size() < 6'000);
-                CHECK(memory.count < 6'000);
+                CHECK(memory.recent.count <= 5'000);
+                CHECK(memory.recent.entries.size() <= 16'384);
+                CHECK(remember(memory, {InstanceId(1), AttemptId(10)}) != nullptr);
             }
         }
     }
-    GIVEN("an attempt that is still running after the time")
+    GIVEN("an attempt that is found by its key")
     {
+        auto table = AttemptTable();
         auto memory = AttemptMemory();
+        const auto index = takeAttempt(table);
         const auto key = AttemptKey{InstanceId(1), AttemptId(2)};
-        remember(memory, key, TimePoint(1h));
-        setIndex(memory, key, 5);
-        for (auto count = std::uint64_t(10); count < 100; ++count)
-            remember(memory, {InstanceId(1), AttemptId(count)}, TimePoint(1h + 60s));
-        THEN("it isn't forgotten")
+        *remember(memory, key) = index;
+        table.attempts[index].request.origin = key.origin;
+        table.attempts[index].request.attempt = key.attempt;
+        table.attempts[index].phase = AttemptPhase::Waiting;
+        CHECK(findAttempt(table, memory, key) == index);
+        WHEN("it has ended and its place is used by another one")
         {
-            CHECK(findIndex(memory, key) == 5);
+            releaseAttempt(table, index);
+            CHECK_FALSE(findAttempt(table, memory, key));
+            const auto again = takeAttempt(table);
+            table.attempts[again].request.attempt = AttemptId(3);
+            table.attempts[again].phase = AttemptPhase::Waiting;
+            // Guards against a late cancel that ends somebody else's request.
+            THEN("it isn't found")
+            {
+                CHECK(again == index);
+                CHECK_FALSE(findAttempt(table, memory, key));
+            }
         }
     }
 }
