--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -142,7 +142,7 @@
 {
     run.now += requestInterval;
     give(run, makeRequest(run), requests);
-    while (run.running.size() > 0 && requestsInFlight(*run.state) > inFlight) {
+    while (!run.running.empty() && requestsInFlight(*run.state) > inFlight) {
         const auto send = std::move(run.running.front());
         run.running.pop_front();
         give(run, makeReply(send), replies);
--- a/tests/core_dispatch_random.cpp
+++ b/tests/core_dispatch_random.cpp
@@ -646,8 +646,8 @@
 auto closeIdleOne(Simulation &simulation) -> void
 {
     auto &holder = simulation.holders[below(simulation, holderCount)];
-    for (auto &[key, connection] : holder.connections) {
-        const auto inUse = std::ranges::any_of(holder.sent, [&](const auto &entry) {
+    for (auto &[place, connection] : holder.connections) {
+        const auto inUse = std::ranges::any_of(holder.sent, [&, &key = place](const auto &entry) {
             return std::pair(entry.second.send.leaf, entry.second.send.connection) == key;
         });
         if (inUse || connection.start == 0 || connection.silent || chance(simulation, 0.5))
--- a/tests/holderworld.h
+++ b/tests/holderworld.h
@@ -57,7 +57,7 @@
 }
 
 // A holder of one share of each of the leafs. The share has the given size.
-inline auto makeWorld(std::vector<Leaf> leafs, ShareSize size,
+inline auto makeWorld(const std::vector<Leaf> &leafs, ShareSize size,
                       const DispatchSettings &settings = {}) -> HolderWorld
 {
     auto world = HolderWorld();
