--- a/core/control.cpp
+++ b/core/control.cpp
@@ -408,6 +408,18 @@
     return rankIn(live, selfId(state)) < watchersPerCell || live.empty();
 }
 
+// True if this instance gets new configurations from that peer. Each watcher heads a chain of the
+// live members by id, so that a member sends each configuration once. Watchers get it from the
+// store, and an instance that isn't a member from anybody.
+auto isSource(const ControlState &state, InstanceId peer, TimePoint now) -> bool
+{
+    const auto live = liveMembers(state, now);
+    const auto rank = rankIn(live, selfId(state));
+    if (rank == live.size())
+        return true;
+    return rank >= watchersPerCell && live[rank - watchersPerCell] == peer;
+}
+
 auto isDue(const std::optional<TimePoint> &last, Duration interval, TimePoint now) -> bool
 {
     return !last || now - *last >= interval;
@@ -567,7 +579,8 @@
     auto reply = HeartbeatReply{makeHeartbeat(state, TimePoint()), heartbeat.sentAt};
     actions.emplace_back(
             SendHeartbeatReply{heartbeat.from.id, heartbeat.from.address, std::move(reply)});
-    pull(state.propagation, heartbeat, selfId(state), now, actions);
+    pull(state.propagation, heartbeat, selfId(state), isSource(state, heartbeat.from.id, now), now,
+         actions);
 }
 
 auto on(ControlState &state, const HeartbeatReply &reply, TimePoint now, ControlActions &actions)
@@ -578,7 +591,8 @@
     const auto answersOwn = noteReply(state.membership, reply, now);
     if (answersOwn && renews(*state.propagation.assignment, state.lease, reply.state))
         noteEvidence(state.lease, reply.echo);
-    pull(state.propagation, reply.state, selfId(state), now, actions);
+    pull(state.propagation, reply.state, selfId(state), isSource(state, reply.state.from.id, now),
+         now, actions);
 }
 
 auto on(ControlState &state, const FetchState &fetch, TimePoint, ControlActions &actions) -> void
--- a/core/propagation.cpp
+++ b/core/propagation.cpp
@@ -95,6 +95,7 @@
     propagation.leafIndex = std::make_shared<const LeafIndex>(buildLeafIndex(*newer));
     propagation.configuration = std::move(newer);
     propagation.configurationPulledAt.reset();
+    propagation.configurationWantedSince.reset();
     suspectWatches(propagation, now);
     return true;
 }
@@ -205,17 +206,21 @@
     return next;
 }
 
-auto pull(Propagation &propagation, const Heartbeat &state, InstanceId self, TimePoint now,
-          ControlActions &actions) -> void
+auto pull(Propagation &propagation, const Heartbeat &state, InstanceId self, bool fromSource,
+          TimePoint now, ControlActions &actions) -> void
 {
-    if (state.revision > propagation.configuration->revision)
-        pullKind(propagation.configurationPulledAt, state,
-                 {self, StateKind::Configuration, number(propagation.configuration->revision)}, now,
-                 actions);
-    if (state.epoch > propagation.assignment->epoch)
+    const auto revision = propagation.configuration->revision;
+    const auto epoch = propagation.assignment->epoch;
+    if (state.epoch > epoch)
         pullKind(propagation.assignmentPulledAt, state,
-                 {self, StateKind::Assignment, number(propagation.assignment->epoch)}, now,
-                 actions);
+                 {self, StateKind::Assignment, number(epoch)}, now, actions);
+    if (state.revision <= revision)
+        return;
+    if (!propagation.configurationWantedSince)
+        propagation.configurationWantedSince = now;
+    if (fromSource || now - *propagation.configurationWantedSince >= pullTimeout)
+        pullKind(propagation.configurationPulledAt, state,
+                 {self, StateKind::Configuration, number(revision)}, now, actions);
 }
 
 auto answerFetch(const Propagation &propagation, const FetchState &fetch, InstanceId self)
--- a/core/propagation.h
+++ b/core/propagation.h
@@ -22,7 +22,8 @@
 // How long a watch may lag behind the reads and the peers that report a newer revision.
 constexpr Duration watchLag = std::chrono::seconds(1);
 
-// A pull that isn't answered within this time is repeated, perhaps at another peer.
+// A pull that isn't answered within this time is repeated, perhaps at another peer. A configuration
+// that the instance's source doesn't offer within this time is pulled from any peer.
 constexpr Duration pullTimeout = std::chrono::seconds(1);
 
 struct PendingCall
@@ -60,6 +61,7 @@
     std::optional<TimePoint> assignmentAskedAt;
     // A write without a reply may take effect later: the assignment is read back until then.
     std::optional<TimePoint> uncertainUntil;
+    std::optional<TimePoint> configurationWantedSince; // a peer reported a newer one
     std::optional<TimePoint> configurationPulledAt;
     std::optional<TimePoint> assignmentPulledAt;
     std::uint64_t silentWatches = 0; // found so far
@@ -97,9 +99,10 @@
 // When a pending call is given up or the back-off ends.
 auto nextStoreTime(const Propagation &propagation, TimePoint now) -> std::optional<TimePoint>;
 
-// Asks a peer for the state if it reported a newer one and no pull is under way.
-auto pull(Propagation &propagation, const Heartbeat &state, InstanceId self, TimePoint now,
-          ControlActions &actions) -> void;
+// Asks a peer for the state if it reported a newer one and no pull is under way. Configurations are
+// large; they come from the one peer that is the instance's source, so that no peer serves many.
+auto pull(Propagation &propagation, const Heartbeat &state, InstanceId self, bool fromSource,
+          TimePoint now, ControlActions &actions) -> void;
 
 // What a peer gets that asks.
 auto answerFetch(const Propagation &propagation, const FetchState &fetch, InstanceId self)
--- a/tests/core_control.cpp
+++ b/tests/core_control.cpp
@@ -665,6 +665,16 @@
                 CHECK(runUntilHolds(world, 1s, newestInForce));
             }
         }
+        AND_WHEN("the configuration changes and a member between the watchers and others is silent")
+        {
+            // Guards against a chain that ends at a member that doesn't pass changes on.
+            pause(world, nodeByRank(world, 2), 1500ms);
+            changeSomething(world);
+            THEN("the members behind it get the change from others")
+            {
+                CHECK(runUntilHolds(world, 4s, newestInForce));
+            }
+        }
         AND_WHEN("every watch is silent and the configuration changes")
         {
             for (auto &watch : world.store.watches)
