--- a/ctl/text.cpp
+++ b/ctl/text.cpp
@@ -86,7 +86,7 @@
     }
     auto text = std::to_string(unlisted.size()) + " items not listed; they keep their state\n";
     for (const auto &[group, names] : groups)
-        text += "  " + group + ": " + names + "\n";
+        text.append("  ").append(group).append(": ").append(names).append("\n");
     return text;
 }
 
