--- a/runtime/adminanswers.cpp
+++ b/runtime/adminanswers.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <iterator>
+#include <limits>
 #include <optional>
 
 namespace crocusreach {
@@ -76,6 +77,15 @@
     return errorAnswer(400, "bad_sheet", "the sheet is wrong; nothing was changed", errors);
 }
 
+// The line that an error of a sheet names; the count of further errors has none and comes last.
+auto lineOf(const Error &error) -> std::uint64_t
+{
+    constexpr std::string_view prefix = "line ";
+    if (!error.peer.starts_with(prefix))
+        return std::numeric_limits<std::uint64_t>::max();
+    return parseNumber(std::string_view(error.peer).substr(prefix.size())).value_or(0);
+}
+
 auto badConfiguration(const Error &error) -> HttpAnswer
 {
     return errorAnswer(400, "bad_configuration", "the configuration is wrong; nothing was changed",
@@ -144,6 +154,7 @@
     // Errors of rows come with errors of the text, so that one correction is enough.
     if (!sheet.rows.empty())
         std::ranges::copy(plan.errors, std::back_inserter(parsed.errors));
+    std::ranges::stable_sort(parsed.errors, {}, lineOf);
     if (!parsed.errors.empty())
         return badSheet(parsed.errors);
     if (detail == SheetDetail::Summary)
--- a/tests/formats_sheet.cpp
+++ b/tests/formats_sheet.cpp
@@ -1,12 +1,24 @@
 #include <catch2/catch.hpp>
 
+#include "formats/configurationjson.h"
 #include "formats/sheetcsv.h"
 #include "formats/timetext.h"
 
+#include <fstream>
+#include <sstream>
+
 using namespace crocusreach;
 
 namespace {
 
+auto readExample(const std::string &name) -> std::string
+{
+    auto file = std::ifstream(EXAMPLES "/" + name);
+    auto text = std::stringstream();
+    text << file.rdbuf();
+    return text.str();
+}
+
 constexpr auto columns = "kind,name,state,reason\n";
 
 auto withRows(const std::string &count, const std::string &rows) -> std::string
@@ -81,6 +93,23 @@
             }
         }
     }
+    GIVEN("the example sheets of both users")
+    {
+        const auto now = *parseTime("2026-12-04T12:00:00Z");
+        for (const auto *user : {"kelaniya", "kayu-burung"}) {
+            THEN(std::string(user) + "'s sheet fits its configuration")
+            {
+                const auto configuration = std::get<Configuration>(
+                        parseConfiguration(readExample(std::string(user) + ".json"), user));
+                const auto parsed = parseSheet(readExample(std::string(user) + "-sheet.csv"));
+                const auto plan = planSheet(parsed.sheet, configuration, now);
+                CHECK(parsed.errors.empty());
+                CHECK(plan.errors.empty());
+                CHECK(plan.confirmations.empty());
+                CHECK(plan.changes.size() >= 2);
+            }
+        }
+    }
     GIVEN("sheets without rows")
     {
         THEN("they are refused")
--- a/tests/runtime_admin.cpp
+++ b/tests/runtime_admin.cpp
@@ -238,9 +238,13 @@
     {
         THEN("a wrong one is refused with its lines")
         {
-            const auto answer = post("/admin/v1/sheet/check", sheetOf("domain,nowhere,out,\n", 1));
+            const auto answer = post("/admin/v1/sheet/check",
+                                     sheetOf("domain,nowhere,out,\nrack,r,out,\n", 2));
             CHECK(answer.status == 400);
-            CHECK(Json::parse(answer.body)["error"]["details"][0]["line"] == 3);
+            const auto details = Json::parse(answer.body)["error"]["details"];
+            REQUIRE(details.size() == 2);
+            CHECK(details[0]["message"] == "domain nowhere is not declared");
+            CHECK(details[1]["line"] == 4);
         }
         THEN("one that takes out half of the failure domains needs its token")
         {
