--- a/core/administration.cpp
+++ b/core/administration.cpp
@@ -163,7 +163,7 @@
         finish(ChangeStatus::Unchanged, state, actions);
         return;
     }
-    auto summary = "configuration: " + std::to_string(differences.size()) + " differences";
+    auto summary = "configuration: " + std::to_string(differences.size()) + " items differ";
     write(state, std::move(wanted), std::move(summary), now, actions);
 }
 
