--- a/core/control.cpp
+++ b/core/control.cpp
@@ -35,9 +35,15 @@
 constexpr Duration furtherStandInDelay = std::chrono::milliseconds(500);
 constexpr Duration outsiderDelay = std::chrono::milliseconds(2500);
 
-// An instance that hears fewer than half of the other members waits longer: the larger side of a
-// partition acts first.
-constexpr Duration isolatedDelay = std::chrono::seconds(10);
+// The larger side of a partition acts first: an instance waits if the members that it hears are
+// half of the cell without the lowest id. One that hears fewer than half can't complete a takeover;
+// it leaves the others alone until the instance list shows them gone, or for this long in case the
+// list is down too.
+constexpr Duration halfDelay = std::chrono::seconds(2);
+constexpr Duration isolatedDelay = std::chrono::seconds(60);
+
+// Least time between two rounds of heartbeats, the regular ones and those that report a change.
+constexpr Duration heartbeatSpacing = std::chrono::milliseconds(50);
 
 // A configuration read is new enough for a placement if it is younger than this.
 constexpr Duration freshConfiguration = std::chrono::seconds(2);
@@ -55,12 +61,15 @@
     bool stopping = false;
     std::optional<TimePoint> startedAt;
     TimePoint nextHeartbeat = {};
+    TimePoint lastHeartbeat = {};
     TimePoint nextSeeds = {};
     TimePoint nextList = {};
     TimePoint nextAssignmentRead = {};
     TimePoint adoptedAt = {}; // the newest assignment
     std::optional<TimePoint> wantedSince; // a different assignment
     Duration wantedJitter = {};
+    std::vector<HeldShare> held; // published with the view
+    bool heldChanged = false; // shares were taken or lost since held was made
     bool listingChanged = false;
     ClusterViewPtr view;
     // The last placement tried, and what it was tried for.
@@ -88,6 +97,13 @@
     return member != nullptr && member->incarnation > state.settings.self.incarnation;
 }
 
+// Sends heartbeats soon, so that peers learn of a change before the regular time.
+auto hastenHeartbeat(ControlState &state, TimePoint now) -> void
+{
+    state.nextHeartbeat
+            = std::min(state.nextHeartbeat, std::max(now, state.lastHeartbeat + heartbeatSpacing));
+}
+
 auto makeHeartbeat(const ControlState &state, TimePoint now) -> Heartbeat
 {
     auto heartbeat = Heartbeat();
@@ -120,15 +136,19 @@
     state.listingChanged = true;
 }
 
-auto takeConfiguration(ControlState &state, std::shared_ptr<const Configuration> newer) -> bool
+auto takeConfiguration(ControlState &state, std::shared_ptr<const Configuration> newer,
+                       TimePoint now) -> bool
 {
     const auto before = state.propagation.configuration->revision;
-    const auto changed = adoptConfiguration(state.propagation, std::move(newer));
+    const auto changed = adoptConfiguration(state.propagation, std::move(newer), now);
     check(state.propagation.configuration->revision >= before, Invariant::RevisionNeverFalls,
           "an older configuration was applied");
-    if (changed)
-        applyListing(state);
-    return changed;
+    if (!changed)
+        return false;
+    applyListing(state);
+    state.heldChanged = true;
+    hastenHeartbeat(state, now);
+    return true;
 }
 
 auto takeAssignment(ControlState &state, std::shared_ptr<const Assignment> newer, TimePoint now)
@@ -151,6 +171,8 @@
     }
     state.adoptedAt = now;
     state.wantedSince.reset();
+    state.heldChanged = true;
+    hastenHeartbeat(state, now);
     return true;
 }
 
@@ -176,20 +198,24 @@
     return static_cast<std::size_t>(std::ranges::find(live, id) - live.begin());
 }
 
-// True if fewer than half of the other members that may be alive are heard.
-auto isIsolated(const ControlState &state, TimePoint now) -> bool
+// How long an instance leaves it to the other side of a possible partition to act.
+auto partitionDelay(const ControlState &state, const std::vector<InstanceId> &live) -> Duration
 {
-    auto others = std::size_t{0};
-    auto heard = std::size_t{0};
+    auto members = std::size_t{0};
+    auto lowest = std::optional<InstanceId>();
     for (const auto &member : state.propagation.assignment->members) {
         const auto *peer = findPeer(state.membership, member.id, member.incarnation);
-        if (peer == nullptr || peer->gone)
+        if (peer != nullptr && peer->gone)
             continue;
-        ++others;
-        if (isHeard(state.membership, *peer, now))
-            ++heard;
+        ++members;
+        if (!lowest)
+            lowest = member.id;
     }
-    return heard * 2 < others;
+    if (live.size() * 2 > members || members == 0)
+        return Duration();
+    if (live.size() * 2 < members)
+        return isolatedDelay;
+    return live.front() == *lowest ? Duration() : halfDelay;
 }
 
 // A peer that isn't a member but asks to become one.
@@ -209,6 +235,9 @@
         return true;
     if (peer->leaving || peer->listedLeaving || isSuperseded(state.membership, *peer))
         return false;
+    // An instance that isn't a member can't tell dead members from a broken network.
+    if (!isSelfMember(state))
+        return !peer->gone;
     return !isSuspectedByAll(state.membership, *state.propagation.assignment, *peer, now);
 }
 
@@ -265,18 +294,34 @@
     return pruned;
 }
 
+// Instances that want to join and this one, by id.
+auto joiningInstances(const ControlState &state, TimePoint now) -> std::vector<InstanceId>
+{
+    auto joining = std::vector<InstanceId>{selfId(state)};
+    for (const auto &peer : state.membership.peers) {
+        if (isHeard(state.membership, peer, now) && !peer.leaving
+            && !isSuperseded(state.membership, peer))
+            joining.push_back(peer.member.id);
+    }
+    std::ranges::sort(joining);
+    return joining;
+}
+
+// How long this instance leaves it to others to write a wanted assignment.
 auto proposalDelay(const ControlState &state, TimePoint now) -> Duration
 {
-    auto delay = Duration();
-    if (isIsolated(state, now))
-        delay += isolatedDelay;
-    const auto live = liveMembers(state, now);
-    if (!isSelfMember(state))
-        return delay + (live.empty() ? Duration() : outsiderDelay) + state.wantedJitter;
-    const auto rank = rankIn(live, selfId(state));
-    if (rank > 0)
-        delay += firstStandInDelay + furtherStandInDelay * static_cast<Duration::rep>(rank - 1);
-    return delay;
+    auto live = liveMembers(state, now);
+    auto delay = partitionDelay(state, live);
+    if (live.empty()) {
+        delay += state.wantedJitter;
+        live = joiningInstances(state, now);
+    } else if (!isSelfMember(state)) {
+        return delay + outsiderDelay + state.wantedJitter;
+    }
+    const auto rank = static_cast<Duration::rep>(rankIn(live, selfId(state)));
+    if (rank == 0)
+        return delay;
+    return delay + firstStandInDelay + furtherStandInDelay * (rank - 1);
 }
 
 // True if no peer that is heard has a newer configuration or assignment.
@@ -327,6 +372,7 @@
     if (now < state.nextHeartbeat)
         return;
     state.nextHeartbeat = now + state.settings.heartbeatInterval;
+    state.lastHeartbeat = now;
     prunePeers(state.membership, *state.propagation.assignment, now);
     const auto heartbeat = makeHeartbeat(state, now);
     auto &peers = state.membership.peers;
@@ -442,17 +488,11 @@
            && left.epoch == right.epoch;
 }
 
-auto sameShare(const HeldShare &left, const HeldShare &right) -> bool
-{
-    return left.leaf == right.leaf && left.ordinal == right.ordinal && left.size == right.size;
-}
-
 auto sameView(const ClusterView &left, const ClusterView &right) -> bool
 {
     return left.configuration == right.configuration && left.assignment == right.assignment
            && left.leaseEnd == right.leaseEnd && left.storeReachable == right.storeReachable
            && left.stopping == right.stopping
-           && std::ranges::equal(left.held, right.held, sameShare)
            && std::ranges::equal(left.peers, right.peers, samePeer);
 }
 
@@ -477,7 +517,6 @@
     view.configuration = state.propagation.configuration;
     view.leafIndex = state.propagation.leafIndex;
     view.assignment = state.propagation.assignment;
-    view.held = heldShares(state.lease, *state.propagation.leafIndex);
     view.leaseEnd = leaseEnd(state.lease, state.settings);
     view.peers = peerViews(state, now);
     view.storeReachable = state.propagation.storeReachable;
@@ -488,11 +527,15 @@
 auto publish(ControlState &state, TimePoint now, ControlActions &actions) -> void
 {
     auto view = makeView(state, now);
-    checkHeld(state, view, now);
-    if (!state.listingChanged && sameView(view, *state.view))
+    if (!state.heldChanged && !state.listingChanged && sameView(view, *state.view))
         return;
+    if (state.heldChanged)
+        state.held = heldShares(state.lease, *state.propagation.leafIndex);
+    state.heldChanged = false;
     state.listingChanged = false;
+    view.held = state.held;
     view.listing = state.listing;
+    checkHeld(state, view, now);
     state.view = std::make_shared<const ClusterView>(std::move(view));
     actions.emplace_back(PublishView{state.view});
 }
@@ -501,8 +544,12 @@
 auto advance(ControlState &state, TimePoint now, ControlActions &actions) -> void
 {
     giveUpCalls(state.propagation, state.settings, now);
-    advanceTakeover(state.lease, *state.propagation.assignment, state.membership, state.settings,
-                    now);
+    const auto drainedBefore = state.lease.drained;
+    if (advanceTakeover(state.lease, *state.propagation.assignment, state.membership,
+                        state.settings, now))
+        state.heldChanged = true;
+    if (state.lease.drained > drainedBefore)
+        hastenHeartbeat(state, now);
     sendHeartbeats(state, now, actions);
     readConfiguration(state, now, actions);
     readAssignment(state, now, actions);
@@ -542,7 +589,7 @@
 
 auto on(ControlState &state, const FetchedState &fetched, TimePoint now, ControlActions &) -> void
 {
-    takeConfiguration(state, fetched.configuration);
+    takeConfiguration(state, fetched.configuration, now);
     takeAssignment(state, fetched.assignment, now);
 }
 
@@ -552,10 +599,11 @@
 {
     if (reply.status == StoreStatus::Absent)
         state.propagation.assignmentKnown = true;
-    if (reply.status != StoreStatus::Ok)
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotModified)
         return;
     takeAssignment(state, reply.assignment, now);
-    if (Epoch{reply.version} == state.propagation.assignment->epoch && isSelfMember(state))
+    const auto shown = reply.status == StoreStatus::Ok ? reply.version : call.version;
+    if (Epoch{shown} == state.propagation.assignment->epoch && isSelfMember(state))
         noteEvidence(state.lease, call.startedAt);
 }
 
@@ -587,9 +635,8 @@
         onWritten(state, *call, reply, now, actions);
     } else if (call->kind == StateKind::Assignment) {
         onAssignmentRead(state, *call, reply, now);
-    } else if (takeConfiguration(state, reply.configuration)
-               && call->operation == StoreOperation::Read) {
-        suspectWatch(propagation, *call, now);
+    } else {
+        takeConfiguration(state, reply.configuration, now);
     }
 }
 
@@ -615,13 +662,13 @@
 auto on(ControlState &state, const StopRequested &, TimePoint now, ControlActions &) -> void
 {
     state.stopping = true;
-    state.nextHeartbeat = now;
+    hastenHeartbeat(state, now);
 }
 
 // A new link is used at once, so that a peer that came back is heard soon.
 auto on(ControlState &state, const PeerConnected &, TimePoint now, ControlActions &) -> void
 {
-    state.nextHeartbeat = now;
+    hastenHeartbeat(state, now);
 }
 
 auto on(ControlState &, const PeerDisconnected &, TimePoint, ControlActions &) -> void { }
