--- a/tests/processes.h
+++ b/tests/processes.h
@@ -83,7 +83,8 @@
 auto waitUntil(const std::function<auto()->bool> &condition,
                std::chrono::milliseconds limit = std::chrono::seconds(30)) -> bool;
 
-// A directory for the files of a test, removed with its content.
+// A directory for the files of a test, removed with its content unless the environment has
+// CROCUSREACH_KEEP_FILES.
 class TemporaryFolder
 {
 public:
