Keep the stand-ins' connections open between requests

libsoup closes a connection accepted from elsewhere after one request unless its server has a listener.

--- a/runtime/embeddedstore.cpp
+++ b/runtime/embeddedstore.cpp
@@ -42,7 +42,7 @@
         watch.call.reply(currentValue(store, key));
 }
 
-auto put(EmbeddedStore &store, ObjectCall &&request) -> ObjectReply
+auto put(EmbeddedStore &store, const ObjectCall &request) -> ObjectReply
 {
     const auto version = currentVersion(store, request.key);
     if (version != request.version)
@@ -50,7 +50,7 @@
     auto &object = store.objects[request.key];
     const auto former = store.removed.find(request.key);
     object.version = std::max(version, former == store.removed.end() ? 0 : former->second) + 1;
-    object.value = std::move(request.value);
+    object.value = request.value;
     return ObjectReply{ObjectStatus::Ok, object.version, {}, {}};
 }
 
@@ -87,10 +87,8 @@
         store.watches.push_back(EmbeddedWatch{std::move(request), now + request.timeout});
         return;
     case ObjectOperation::Put: {
-        const auto reply = std::move(request.reply);
-        const auto key = request.key;
-        reply(put(store, std::move(request)));
-        return answerWatches(store, key);
+        request.reply(put(store, request));
+        return answerWatches(store, request.key);
     }
     case ObjectOperation::Remove:
         return request.reply(remove(store, request));
--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -80,7 +80,8 @@
 
 } // namespace
 
-Instance::Instance(const Settings &settings, std::string_view version, EmbeddedObjects objects)
+Instance::Instance(const Settings &settings, std::string_view version,
+                   const EmbeddedObjects &objects)
     : settings(settings)
     , self(instanceId(settings.instance))
 {
@@ -92,17 +93,17 @@
     this->stopTimer = std::make_unique<WakeTimer>(g_main_context_get_thread_default(),
                                                   [this] { this->continueStop(); });
 
-    this->makePlatformTasks(std::move(objects));
+    this->makePlatformTasks(objects);
     this->makeQueryTask();
     this->makeDispatchTask();
     this->makeAdminTask(version);
 }
 
-auto Instance::makePlatformTasks(EmbeddedObjects objects) -> void
+auto Instance::makePlatformTasks(const EmbeddedObjects &objects) -> void
 {
     this->store = std::make_unique<StoreTask>(
             StoreAddresses{this->settings.storeAddress, this->settings.instanceListAddress},
-            std::move(objects));
+            objects);
     for (std::size_t index = 0; index < targetThreads; ++index)
         this->targets.push_back(std::make_unique<TargetTask>(
                 [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); }));
@@ -120,7 +121,7 @@
     outlets.self = this->self;
     outlets.dispatch = [this](DispatchEvent &&event) { this->dispatch->post(std::move(event)); };
     outlets.peerRequest = [this](SendLeafRequest &&send) { this->peer->post(std::move(send)); };
-    outlets.peerCancel = [this](SendCancel &&send) { this->peer->post(std::move(send)); };
+    outlets.peerCancel = [this](const SendCancel &send) { this->peer->post(send); };
     outlets.store = [this](ObjectCall &&call) { this->store->post(std::move(call)); };
     outlets.front = [this](QueryAnswered &&answer) {
         recordAnswer(this->measured, answer);
@@ -185,7 +186,7 @@
     if (failed(objects))
         return std::get<Error>(std::move(objects));
     auto instance = std::unique_ptr<Instance>(
-            new Instance(settings, version, std::get<EmbeddedObjects>(std::move(objects))));
+            new Instance(settings, version, std::get<EmbeddedObjects>(objects)));
     auto addresses = instance->openListeners();
     if (failed(addresses))
         return std::get<Error>(std::move(addresses));
--- a/runtime/instance.h
+++ b/runtime/instance.h
@@ -78,9 +78,9 @@
         std::size_t requests = 1;
     };
 
-    Instance(const Settings &settings, std::string_view version, EmbeddedObjects objects);
+    Instance(const Settings &settings, std::string_view version, const EmbeddedObjects &objects);
 
-    auto makePlatformTasks(EmbeddedObjects objects) -> void;
+    auto makePlatformTasks(const EmbeddedObjects &objects) -> void;
     auto makeQueryTask() -> void;
     auto makeDispatchTask() -> void;
     auto makeAdminTask(std::string_view version) -> void;
--- a/runtime/peertask.cpp
+++ b/runtime/peertask.cpp
@@ -66,8 +66,7 @@
 {
     this->thread.run([this] {
         this->mailbox.attach(this->thread.context(), [this](PeerCommand &&command) {
-            std::visit([this](auto &&content) { this->handle(std::move(content)); },
-                       std::move(command));
+            std::visit([this](auto &content) { this->handle(std::move(content)); }, command);
         });
     });
 }
--- a/runtime/querytask.cpp
+++ b/runtime/querytask.cpp
@@ -75,12 +75,12 @@
         outlets.peerRequest(std::move(send));
 }
 
-auto perform(const QueryOutlets &outlets, SendCancel &&send) -> void
+auto perform(const QueryOutlets &outlets, const SendCancel &send) -> void
 {
     if (send.holder == outlets.self)
         outlets.dispatch(send.cancel);
     else
-        outlets.peerCancel(std::move(send));
+        outlets.peerCancel(send);
 }
 
 } // namespace
@@ -90,7 +90,7 @@
     return [outlets = std::move(outlets)](QueryAction &&action) {
         const auto handlers
                 = Overloaded{[&](SendLeafRequest &&send) { perform(outlets, std::move(send)); },
-                             [&](SendCancel &&send) { perform(outlets, std::move(send)); },
+                             [&](const SendCancel &send) { perform(outlets, send); },
                              [&](ClaimCall &&claim) { callStore(outlets, std::move(claim)); },
                              [&](QueryAnswered &&answer) { outlets.front(std::move(answer)); }};
         std::visit(handlers, std::move(action));
--- a/runtime/querytask.h
+++ b/runtime/querytask.h
@@ -18,7 +18,7 @@
     InstanceId self = {};
     std::function<auto(DispatchEvent &&)->void> dispatch; // requests to shares held here
     std::function<auto(SendLeafRequest &&)->void> peerRequest; // to other holders
-    std::function<auto(SendCancel &&)->void> peerCancel;
+    std::function<auto(const SendCancel &)->void> peerCancel;
     std::function<auto(ObjectCall &&)->void> store;
     std::function<auto(QueryAnswered &&)->void> front;
     std::function<auto(QueryEvent &&)->void> query; // replies of the store, back to the task
--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -107,7 +107,9 @@
     try {
         const auto document = nlohmann::json::parse(body);
         const auto &instances = document.at("instances");
-        for (std::size_t index = 0; index < instances.size(); ++index)
+        // GCC takes the iterators of the JSON library for a null dereference.
+        for (std::size_t index = 0; index < instances.size();
+             ++index) // NOLINT(modernize-loop-convert)
             reply.instances.push_back(readInstance(instances.at(index)));
         reply.answered = true;
     } catch (const nlohmann::json::exception &) {
@@ -124,7 +126,7 @@
     return std::string("cells/").append(cell).append("/assignment");
 }
 
-StoreTask::StoreTask(StoreAddresses addresses, EmbeddedObjects objects)
+StoreTask::StoreTask(StoreAddresses addresses, const EmbeddedObjects &objects)
     : addresses(std::move(addresses))
     , embedded(makeEmbeddedStore(objects))
     , thread("store")
@@ -136,8 +138,7 @@
         this->embeddedTimer = std::make_unique<WakeTimer>(this->thread.context(),
                                                           [this] { this->runEmbeddedTimer(); });
         this->mailbox.attach(this->thread.context(), [this](StoreMessage &&message) {
-            std::visit([this](auto &&content) { this->handle(std::move(content)); },
-                       std::move(message));
+            std::visit([this](auto &content) { this->handle(std::move(content)); }, message);
         });
     });
 }
--- a/runtime/storetask.h
+++ b/runtime/storetask.h
@@ -45,7 +45,7 @@
 {
 public:
     // Fills the embedded store, if it is used, before the first call.
-    StoreTask(StoreAddresses addresses, EmbeddedObjects objects);
+    StoreTask(StoreAddresses addresses, const EmbeddedObjects &objects);
     StoreTask(const StoreTask &) = delete;
     auto operator=(const StoreTask &) -> StoreTask & = delete;
     ~StoreTask() { this->stop(); }
--- a/runtime/targettask.cpp
+++ b/runtime/targettask.cpp
@@ -74,8 +74,7 @@
 {
     this->thread.run([this] {
         this->mailbox.attach(this->thread.context(), [this](TargetMessage &&message) {
-            std::visit([this](auto &&content) { this->handle(std::move(content)); },
-                       std::move(message));
+            std::visit([this](auto &content) { this->handle(std::move(content)); }, message);
         });
     });
 }
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -159,6 +159,12 @@
             [](SoupServer *, SoupServerMessage *message, const char *, GHashTable *,
                gpointer data) { static_cast<HttpServer *>(data)->serve(message); },
             this, nullptr);
+    // libsoup keeps a connection after its first request only while the server has a listener of
+    // its own; this one is never connected to.
+    auto *error = static_cast<GError *>(nullptr);
+    if (soup_server_listen_local(this->server.get(), 0, SOUP_SERVER_LISTEN_IPV4_ONLY, &error)
+        == FALSE)
+        fail("listen", error);
     this->bindSocket();
     this->refuseConnections(false);
 }
