--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -248,4 +248,3 @@
 
 } // namespace crocusreach
 
-BENCHMARK_MAIN();
