--- /dev/null
+++ b/bench/signature.cpp
@@ -0,0 +1,241 @@
+#include "core/dispatch.h"
+#include "core/query.h"
+#include "fixture.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <queue>
+#include <span>
+
+// Runs a fixed load through the query core, the dispatch core and the placement under virtual time,
+// and prints a signature of every decision. A change of speed alone leaves the signature as it is.
+
+namespace crocusreach::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t queryCount = 2000;
+constexpr std::uint32_t leafCount = 60;
+
+struct Signature
+{
+    std::uint64_t value = 0;
+    std::map<std::string, std::uint64_t> counts;
+};
+
+auto note(Signature &signature, const char *kind, std::uint64_t content) -> void
+{
+    signature.value = hashPair(signature.value, hashPair(hashName(kind), content));
+    ++signature.counts[kind];
+}
+
+struct Event
+{
+    TimePoint at;
+    std::uint64_t order = 0; // of making, so that equal times keep their order
+    std::variant<QueryEvent, DispatchEvent> content;
+
+    auto operator>(const Event &other) const -> bool
+    {
+        return std::pair(this->at, this->order) > std::pair(other.at, other.order);
+    }
+};
+
+// One instance that holds all shares, with targets whose behaviour follows from a hash of the send.
+struct Run
+{
+    QueryStatePtr query = makeQueryState({}, 1);
+    DispatchStatePtr dispatch = makeDispatchState({});
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+    std::uint64_t made = 0;
+    TimePoint now = TimePoint(1h);
+    Signature signature;
+};
+
+auto schedule(Run &run, Duration delay, std::variant<QueryEvent, DispatchEvent> content) -> void
+{
+    run.events.push({run.now + delay, ++run.made, std::move(content)});
+}
+
+// A view in which this instance holds every share until the end of the run.
+auto ownView() -> ClusterViewPtr
+{
+    auto view = std::make_shared<ClusterView>(*makeView({1, leafCount, 2, 1}));
+    auto assignment = std::make_shared<Assignment>(*view->assignment);
+    view->self = InstanceId{0};
+    view->peers.clear();
+    for (const auto &share : assignment->shares)
+        view->held.push_back({share.leaf, share.ordinal, share.size});
+    view->assignment = assignment;
+    view->leaseEnd = TimePoint(100h);
+    return view;
+}
+
+// The target's answer: mostly quick, at times slow, shed, or lost with its connection.
+auto answer(Run &run, const TargetSend &send) -> void
+{
+    const auto draw = hashPair(number(send.send), number(send.leaf));
+    auto reply = TargetReply();
+    reply.send = send.send;
+    reply.leaf = send.leaf;
+    reply.outcome = Outcome::Done;
+    reply.startId = "start";
+    reply.state = TargetState::Warm;
+    reply.connected = send.mayConnect;
+    reply.connectionOpen = true;
+    reply.version = IndexVersion{3};
+    reply.layout = send.layout;
+    reply.servedVersions = {IndexVersion{3}};
+    reply.rows = {
+            {"key-" + std::to_string(number(send.shard)), static_cast<double>(draw % 1000), "row"}};
+    reply.elapsed = std::chrono::milliseconds(draw % 50 == 0 ? 60 : 2 + draw % 5);
+    if (draw % 97 == 0) {
+        reply.outcome = Outcome::NotRun;
+        reply.reason = Reason::TargetShed;
+        reply.rows.clear();
+    } else if (draw % 89 == 0) {
+        reply.outcome = Outcome::Unknown;
+        reply.reason = Reason::ConnectionLost;
+        reply.connectionOpen = false;
+        reply.startId.clear();
+        reply.rows.clear();
+    }
+    const auto elapsed = reply.elapsed;
+    schedule(run, elapsed, DispatchEvent(std::move(reply)));
+}
+
+auto perform(Run &run, const QueryAction &action) -> void
+{
+    std::visit(
+            Overloaded{[&](const SendLeafRequest &send) {
+                           note(run.signature, send.request.hedge ? "hedge" : "leaf request",
+                                hashPair(number(send.request.leaf), number(send.request.attempt)));
+                           schedule(run, 100us, DispatchEvent(send.request));
+                       },
+                       [&](const SendCancel &cancel) {
+                           note(run.signature, "cancel", number(cancel.cancel.attempt));
+                           schedule(run, 100us, DispatchEvent(cancel.cancel));
+                       },
+                       [&](const ClaimCall &) {},
+                       [&](const QueryAnswered &answered) {
+                           note(run.signature,
+                                answered.status == AnswerStatus::Complete ? "complete" : "partial",
+                                hashPair(answered.answered,
+                                         static_cast<std::uint64_t>(answered.spent.count())));
+                       }},
+            action);
+}
+
+auto perform(Run &run, const DispatchAction &action) -> void
+{
+    std::visit(Overloaded{[&](const TargetSend &send) {
+                              note(run.signature, "target send",
+                                   hashPair(number(send.leaf), number(send.connection)));
+                              answer(run, send);
+                          },
+                          [&](const LeafReplyTo &reply) {
+                              note(run.signature, "leaf reply",
+                                   hashPair(number(reply.reply.attempt),
+                                            static_cast<std::uint64_t>(reply.reply.reason)));
+                              schedule(run, 100us, QueryEvent(reply.reply));
+                          },
+                          [&](const TargetCancel &cancel) {
+                              note(run.signature, "target cancel", number(cancel.send));
+                          },
+                          [](const auto &) {}},
+               action);
+}
+
+auto feed(Run &run, QueryEvent event) -> void
+{
+    auto actions = QueryActions();
+    handle(*run.query, std::move(event), run.now, actions);
+    for (const auto &action : actions)
+        perform(run, action);
+}
+
+auto feed(Run &run, const DispatchEvent &event) -> void
+{
+    auto actions = DispatchActions();
+    handle(*run.dispatch, event, run.now, actions);
+    for (const auto &action : actions)
+        perform(run, action);
+}
+
+auto nextTime(const Run &run) -> std::optional<TimePoint>
+{
+    auto next = run.events.empty() ? std::optional<TimePoint>() : run.events.top().at;
+    for (const auto wake : {nextWake(*run.query), nextWake(*run.dispatch)}) {
+        if (wake && (!next || *wake < *next))
+            next = wake;
+    }
+    return next;
+}
+
+auto runLoad(Run &run) -> void
+{
+    const auto view = ownView();
+    feed(run, QueryEvent(ViewChanged{view}));
+    feed(run, DispatchEvent(ViewChanged{view}));
+    for (std::uint64_t index = 1; index <= queryCount; ++index) {
+        auto request = QueryArrived();
+        request.query = QueryId{index};
+        request.service = serviceName(0);
+        request.deadline = 100ms;
+        request.body = std::make_shared<const std::string>("teak");
+        schedule(run, 10ms * static_cast<int>(index), QueryEvent(std::move(request)));
+    }
+    while (!run.events.empty()) {
+        const auto next = nextTime(run);
+        run.now = std::max(run.now, *next);
+        feed(run, QueryEvent(Tick{}));
+        feed(run, DispatchEvent(Tick{}));
+        while (!run.events.empty() && run.events.top().at <= run.now) {
+            auto event = run.events.top();
+            run.events.pop();
+            std::visit([&](auto &content) { feed(run, std::move(content)); }, event.content);
+        }
+    }
+}
+
+// Placement of the shares as members join and leave.
+auto runPlacement(Signature &signature) -> void
+{
+    const auto view = makeView({3, leafCount, 1, 1});
+    auto assignment = Assignment();
+    assignment.cell = "cell";
+    for (std::uint32_t count : {1, 4, 7, 6, 9}) {
+        auto members = std::vector<Member>();
+        for (std::uint32_t index = 0; index < count; ++index)
+            members.push_back({InstanceId{index}, Incarnation{1}, "i", "127.0.0.1:1",
+                               domainId("domain-" + std::to_string(index % 4))});
+        assignment = place(assignment, members, *view->configuration);
+        for (const auto &share : assignment.shares)
+            note(signature, "placement",
+                 hashPair(hashPair(number(share.leaf), share.ordinal), number(share.holder)));
+    }
+}
+
+auto print(const Signature &signature) -> void
+{
+    for (const auto &[kind, count] : signature.counts)
+        std::printf("%-16s %10llu\n", kind.c_str(), static_cast<unsigned long long>(count));
+    std::printf("signature        %016llx\n", static_cast<unsigned long long>(signature.value));
+}
+
+} // namespace
+
+} // namespace crocusreach::bench
+
+auto main() -> int
+{
+    auto run = crocusreach::bench::Run();
+    crocusreach::bench::runLoad(run);
+    crocusreach::bench::runPlacement(run.signature);
+    crocusreach::bench::print(run.signature);
+    return 0;
+}
