Show that the query core's invariants can fail

Cause: an assertion that never trips proves nothing. Change: a test leaves the state, or a message, as a wrong decision would, for each of the six invariants of the query core; the tests share their view.

--- /dev/null
+++ b/tests/core_query_invariants.cpp
@@ -0,0 +1,143 @@
+#include <catch2/catch.hpp>
+
+#include "core/invariants.h"
+#include "core/merge.h"
+#include "core/querystate.h"
+#include "queryview.h"
+
+using namespace crocusreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Counts violations instead of ending the process, as the shipped instance does.
+class CountedViolations
+{
+public:
+    CountedViolations()
+        : former(setViolationHandler([](Invariant, std::string_view) {}))
+    { }
+    CountedViolations(const CountedViolations &) = delete;
+    auto operator=(const CountedViolations &) -> CountedViolations & = delete;
+    ~CountedViolations() { setViolationHandler(this->former); }
+
+private:
+    ViolationHandler former;
+};
+
+constexpr auto start = TimePoint(1h);
+
+auto makeRequest(bool idempotent) -> QueryArrived
+{
+    auto request = QueryArrived();
+    request.query = QueryId{1};
+    request.service = "search";
+    request.idempotent = idempotent;
+    request.firstAttempt = true;
+    request.requestId = "id";
+    request.shardKey = idempotent ? "" : "key";
+    request.deadline = 100ms;
+    request.body = std::make_shared<const std::string>("teak");
+    return request;
+}
+
+auto feed(QueryState &state, QueryEvent event, TimePoint now) -> QueryActions
+{
+    auto actions = QueryActions();
+    handle(state, std::move(event), now, actions);
+    return actions;
+}
+
+auto firstSent(const QueryActions &actions) -> LeafRequest
+{
+    return std::get<SendLeafRequest>(actions.front()).request;
+}
+
+auto replyTo(const LeafRequest &request) -> LeafReply
+{
+    auto reply = LeafReply();
+    reply.attempt = request.attempt;
+    reply.leaf = request.leaf;
+    reply.shard = request.shard;
+    reply.outcome = Outcome::Done;
+    reply.version = IndexVersion{5};
+    reply.layout = request.layout;
+    return reply;
+}
+
+} // namespace
+
+// Each fault is put into the state, or into a message, as a wrong decision would leave it. Guards
+// against assertions that can't fail.
+SCENARIO("the query core's invariants notice wrong decisions")
+{
+    const auto counted = CountedViolations();
+    auto state = makeQueryState({}, 1);
+    feed(*state, ViewChanged{makeQueryView()}, start);
+    auto invariant = Invariant::Count;
+    auto before = std::uint64_t{0};
+    const auto expect = [&](Invariant expected) {
+        invariant = expected;
+        before = violationCount(expected);
+    };
+    GIVEN("an idempotent query that has merged its first shard")
+    {
+        const auto sent = feed(*state, makeRequest(true), start);
+        auto &query = state->queries.at(QueryId{1});
+        feed(*state, replyTo(firstSent(sent)), start + 1ms);
+        auto answer = QueryAnswered();
+        SECTION("one shard was merged from another version")
+        {
+            expect(Invariant::OneSnapshotPerAnswer);
+            query.shards[0].mergedVersion = IndexVersion{6};
+            writeCoverage(query, answer);
+        }
+        SECTION("a shard that still waits is left out of the coverage")
+        {
+            expect(Invariant::CoverageIsTrue);
+            writeCoverage(query, answer);
+        }
+        SECTION("a row comes from a shard that is counted as missing")
+        {
+            expect(Invariant::CoverageIsTrue);
+            query.rows.push_back({ShardNumber{2}, {"key", 1, "body"}});
+            markMissing(query, query.shards[1], Reason::TargetShed, Step::TargetCall, "target");
+            markMissing(query, query.shards[2], Reason::TargetShed, Step::TargetCall, "target");
+            writeCoverage(query, answer);
+        }
+        SECTION("a reply names another shard than its attempt")
+        {
+            expect(Invariant::AnswerBelongsToQuery);
+            auto reply = replyTo(std::get<SendLeafRequest>(sent[1]).request);
+            reply.shard = ShardNumber{number(reply.shard) + 1};
+            feed(*state, reply, start + 2ms);
+        }
+        SECTION("the timer of the deadline is lost")
+        {
+            expect(Invariant::QueryEndsByDeadline);
+            state->timers = {};
+            feed(*state, Tick{}, start + 150ms);
+            feed(*state, replyTo(std::get<SendLeafRequest>(sent[1]).request), start + 151ms);
+            feed(*state, replyTo(std::get<SendLeafRequest>(sent[2]).request), start + 152ms);
+        }
+        CHECK(violationCount(invariant) > before);
+    }
+    GIVEN("a non-idempotent query whose claim is being made")
+    {
+        feed(*state, makeRequest(false), start);
+        auto &query = state->queries.at(QueryId{1});
+        query.mayHaveRun = true;
+        SECTION("it is dispatched although it may have run")
+        {
+            expect(Invariant::AtMostOnce);
+            feed(*state, ClaimReply{QueryId{1}, ClaimOperation::Create, ClaimStatus::Ok, {}, 1},
+                 start + 1ms);
+        }
+        SECTION("it is refused as not run although it may have run")
+        {
+            expect(Invariant::NotRunIsProvable);
+            feed(*state, Tick{}, start + 101ms);
+        }
+        CHECK(violationCount(invariant) > before);
+    }
+}
