--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -33,6 +33,10 @@
 
 // Sends one request over one connection. If mayConnect is false and the connection isn't open, the
 // runtime reports ConnectionLost with Outcome::NotRun instead of opening one.
+// A request that isn't idempotent needs a fresh connection: one that is open under the same index
+// is closed first. NotRun is believed only with a reason that proves it; a connection that is lost
+// although it was allowed to be opened is reported as ConnectFailed if nothing was sent, else with
+// Outcome::Unknown.
 struct TargetSend
 {
     SendId send = {};
@@ -50,7 +54,8 @@
 };
 
 // Asks a target for its health page on a connection outside the slots. newConnection forces a fresh
-// one.
+// one, which replaces the former: a leaf has one connection for probes at most. One ProbeReply
+// follows each; the holder waits for it, so the runtime should give up after about a second.
 struct TargetProbe
 {
     LeafId leaf = {};
@@ -58,13 +63,16 @@
     bool newConnection = false;
 };
 
+// Ends a send early. With closeConnection the connection is closed even if the reply has come in
+// the meantime, and the TargetReply says that it isn't open.
 struct TargetCancel
 {
     SendId send = {};
     bool closeConnection = false;
 };
 
-// Closes idle connections of a leaf whose share was released.
+// Closes idle connections of a leaf, the one for probes too: its share was released or became
+// smaller, its address changed, or a request needs a fresh connection.
 struct TargetClose
 {
     LeafId leaf = {};
--- a/core/dispatchview.h
+++ b/core/dispatchview.h
@@ -7,6 +7,8 @@
 
 namespace crocusreach {
 
+// A stopping instance goes on with the shares it holds until an epoch moves them, because queries
+// that it has accepted may depend on them.
 auto applyView(DispatchState &state, const ClusterViewPtr &view, TimePoint now,
                DispatchActions &actions) -> void;
 
