--- a/runtime/targettask.cpp
+++ b/runtime/targettask.cpp
@@ -3,6 +3,9 @@
 #include "clock.h"
 #include "targetreply.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <array>
 #include <charconv>
 
@@ -198,7 +201,7 @@
 }
 
 auto TargetTask::onNetworkEvent(SoupMessage * /*message*/, GSocketClientEvent event,
-                                GIOStream * /*stream*/, gpointer data) -> void
+                                GIOStream *stream, gpointer data) -> void
 {
     auto &exchange = *static_cast<Exchange *>(data);
     const auto now = decisionNow();
@@ -209,6 +212,10 @@
         g_cancellable_cancel(exchange.cancellable.get());
         return;
     }
+    // libsoup writes head and body apart; the body must not wait for an acknowledgement.
+    if (event == G_SOCKET_CLIENT_CONNECTED)
+        g_socket_set_option(g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)),
+                            IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     if (event != G_SOCKET_CLIENT_COMPLETE)
         return;
     exchange.connected = true;
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "httpserver.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -222,6 +224,9 @@
 {
     while (auto *accepted = g_socket_accept(this->listener.get(), nullptr, nullptr)) {
         const auto socket = ObjectPtr<GSocket>(accepted);
+        // libsoup writes head and body apart; without the option the body waits 40 ms for the
+        // acknowledgement of the head. Its own listeners set it.
+        g_socket_set_option(accepted, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
         const auto remote
                 = ObjectPtr<GSocketAddress>(g_socket_get_remote_address(accepted, nullptr));
         const auto local = ObjectPtr<GSocketAddress>(g_socket_get_local_address(accepted, nullptr));
