--- a/runtime/embeddedstore.cpp
+++ b/runtime/embeddedstore.cpp
@@ -84,7 +84,9 @@
     case ObjectOperation::Watch:
         if (currentVersion(store, request.key) > request.version)
             return request.reply(currentValue(store, request.key));
-        store.watches.push_back(EmbeddedWatch{std::move(request), now + request.timeout});
+        store.watches.emplace_back();
+        store.watches.back().until = now + request.timeout;
+        store.watches.back().call = std::move(request);
         return;
     case ObjectOperation::Put: {
         request.reply(put(store, request));
--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -108,8 +108,8 @@
         const auto document = nlohmann::json::parse(body);
         const auto &instances = document.at("instances");
         // GCC takes the iterators of the JSON library for a null dereference.
-        for (std::size_t index = 0; index < instances.size();
-             ++index) // NOLINT(modernize-loop-convert)
+        // NOLINTNEXTLINE(modernize-loop-convert)
+        for (std::size_t index = 0; index < instances.size(); ++index)
             reply.instances.push_back(readInstance(instances.at(index)));
         reply.answered = true;
     } catch (const nlohmann::json::exception &) {
--- a/runtime/targettask.cpp
+++ b/runtime/targettask.cpp
@@ -16,12 +16,17 @@
 // Longer than any deadline of a request (3 s); ends a request that nobody cancels.
 constexpr guint socketTimeoutSeconds = 5;
 constexpr guint probeTimeoutSeconds = 1;
+// Several probe intervals (1 s), so that only leafs that are probed no more lose their connection.
+constexpr guint probeIdleSeconds = 5;
+constexpr int mostProbeConnections = 10000;
 
-auto makeSession(guint timeoutSeconds) -> ObjectPtr<SoupSession>
+// A session with at most one connection to each target.
+auto makeSession(int mostConnections, guint idleSeconds, guint timeoutSeconds)
+        -> ObjectPtr<SoupSession>
 {
     auto session = ObjectPtr<SoupSession>(soup_session_new_with_options(
-            "max-conns", 1, "max-conns-per-host", 1, "idle-timeout", 0U, "timeout", timeoutSeconds,
-            "proxy-resolver", nullptr, nullptr));
+            "max-conns", mostConnections, "max-conns-per-host", 1, "idle-timeout", idleSeconds,
+            "timeout", timeoutSeconds, "proxy-resolver", nullptr, nullptr));
     soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
     soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
     return session;
@@ -76,6 +81,8 @@
     , thread("target")
 {
     this->thread.run([this] {
+        this->probeSession
+                = makeSession(mostProbeConnections, probeIdleSeconds, probeTimeoutSeconds);
         this->mailbox.attach(this->thread.context(), [this](TargetMessage &&message) {
             std::visit([this](auto &content) { this->handle(std::move(content)); }, message);
         });
@@ -90,12 +97,11 @@
         this->mailbox.detach();
         for (auto &[id, exchange] : this->exchanges)
             g_cancellable_cancel(exchange->cancellable.get());
-        for (auto &[leaf, session] : this->probeSessions)
-            soup_session_abort(session.get());
+        soup_session_abort(this->probeSession.get());
         while (!this->exchanges.empty() || this->probesRunning > 0)
             g_main_context_iteration(this->thread.context(), TRUE);
         this->connections.clear();
-        this->probeSessions.clear();
+        this->probeSession.reset();
     });
     this->thread.stop();
 }
@@ -117,7 +123,7 @@
 
     auto &connection = this->connections[{exchange.request.leaf, exchange.request.connection}];
     if (connection.session == nullptr)
-        connection.session = makeSession(socketTimeoutSeconds);
+        connection.session = makeSession(1, 0, socketTimeoutSeconds);
     connection.busy = true;
     exchange.session = shareObject(connection.session.get());
     exchange.cancellable.reset(g_cancellable_new());
@@ -140,15 +146,10 @@
     auto message = makeMessage(SOUP_METHOD_GET, request.address, "/v1/health");
     if (message == nullptr)
         return this->outlet(ProbeReply{request.leaf, false, {}, {}, 0});
-    auto session = ObjectPtr<SoupSession>();
-    if (request.newConnection) {
-        session = makeSession(probeTimeoutSeconds);
-    } else {
-        auto &kept = this->probeSessions[request.leaf];
-        if (kept == nullptr)
-            kept = makeSession(probeTimeoutSeconds);
-        session = shareObject(kept.get());
-    }
+    // One session for the probes of all leafs: each session adds a source that every turn of the
+    // loop looks at. libsoup closes a connection whose probe has failed.
+    auto session = request.newConnection ? makeSession(1, 0, probeTimeoutSeconds)
+                                         : shareObject(this->probeSession.get());
     auto probe = std::make_unique<Probe>();
     probe->task = this;
     probe->leaf = request.leaf;
@@ -178,7 +179,6 @@
 
 auto TargetTask::handle(TargetClose &&request) -> void
 {
-    this->probeSessions.erase(request.leaf);
     const auto first = this->connections.lower_bound({request.leaf, ConnectionIndex(0)});
     for (auto current = first;
          current != this->connections.end() && current->first.first == request.leaf;) {
@@ -302,13 +302,8 @@
     auto &task = *probe->task;
     --task.probesRunning;
     auto headers = TargetReply();
-    if (error == nullptr) {
+    if (error == nullptr)
         readTargetHeaders(soup_message_get_response_headers(probe->message.get()), headers);
-    } else if (const auto kept = task.probeSessions.find(probe->leaf);
-               kept != task.probeSessions.end() && kept->second == probe->session) {
-        // The connection may have gone silent; the next probe opens another one.
-        task.probeSessions.erase(kept);
-    }
     if (task.stopping)
         return;
     task.outlet(ProbeReply{probe->leaf, error == nullptr, std::move(headers.startId), headers.state,
--- a/runtime/targettask.h
+++ b/runtime/targettask.h
@@ -94,7 +94,7 @@
     MainThread thread;
     Mailbox<TargetMessage> mailbox;
     std::map<ConnectionKey, Connection> connections;
-    std::unordered_map<LeafId, ObjectPtr<SoupSession>> probeSessions;
+    ObjectPtr<SoupSession> probeSession;
     std::unordered_map<SendId, std::unique_ptr<Exchange>> exchanges;
     std::size_t probesRunning = 0;
     bool stopping = false;
