--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -292,7 +292,7 @@
             }});
 }
 
-auto Instance::logChanges(const ClusterView &newer) const -> void
+auto Instance::logChanges(const ClusterView &newer) -> void
 {
     const auto *former = this->view.get();
     const auto revision = number(newer.configuration->revision);
@@ -307,6 +307,10 @@
         logEvent(LogEvent::StoreUnreachable);
     if (former != nullptr && !former->storeReachable && newer.storeReachable)
         logEvent(LogEvent::StoreReachable);
+    const auto valid = newer.leaseEnd > decisionNow();
+    if (this->leased && !valid)
+        logEvent(LogEvent::LeaseWithoutEvidence);
+    this->leased = valid && !newer.held.empty();
 }
 
 auto Instance::updateServing() -> void
--- a/runtime/instance.h
+++ b/runtime/instance.h
@@ -94,7 +94,7 @@
     auto handle(const RequestsRunning &running) -> void { this->stop.requests = running.count; }
     auto handle(const ExplainAsked &asked) -> void;
     auto handle(const MetricsAsked &asked) -> void { asked.reply(writeMetrics(this->measured)); }
-    auto logChanges(const ClusterView &view) const -> void;
+    auto logChanges(const ClusterView &newer) -> void;
     auto updateServing() -> void;
     auto collectMetrics() -> void;
     auto continueStop() -> void;
@@ -105,6 +105,7 @@
     InstanceAddresses listeners;
     Metrics measured;
     ClusterViewPtr view; // null until the control core's first one
+    bool leased = false; // shares are held and their lease had not ended at the last view
     Stop stop;
     Mailbox<InstanceMessage> mailbox;
     std::unique_ptr<WakeTimer> metricsTimer;
