--- a/tests/runtime_admin.cpp
+++ b/tests/runtime_admin.cpp
@@ -1,116 +1,22 @@
 #include <catch2/catch.hpp>
 
-#include "formats/configurationjson.h"
+#include "adminfixture.h"
 #include "processes.h"
-#include "runtime/adminanswers.h"
-#include "runtime/adminroutes.h"
-#include "runtime/admintask.h"
-#include "runtime/clock.h"
-#include "runtime/embeddedstore.h"
-
-#include <fstream>
-#include <mutex>
-#include <sstream>
 
 using namespace crocusreach;
-using crocusreach::tests::httpCall;
+using tests::adminToken;
+using tests::httpCall;
+using tests::makePorts;
+using tests::makeSettings;
+using tests::makeView;
+using tests::readExample;
+using tests::StoreFault;
+using tests::TestStore;
 using Json = nlohmann::json;
 
 namespace {
 
-const std::string token = "a-token-of-the-planner";
-constexpr std::string_view key = "config/current";
-
-enum class StoreFault : std::uint8_t { None, LoseAllReplies, LoseOneWriteReply, NeverAnswer };
-
-// The store behind the task. Calls come in the task's thread.
-struct TestStore
-{
-    std::mutex mutex;
-    EmbeddedStore store; // guarded by mutex
-    StoreFault fault = StoreFault::None; // guarded by mutex
-    std::uint32_t writes = 0; // guarded by mutex
-
-    auto setFault(StoreFault wanted) -> void
-    {
-        const auto lock = std::lock_guard(this->mutex);
-        this->fault = wanted;
-    }
-
-    auto serve(ObjectCall &&request) -> void
-    {
-        const auto lock = std::lock_guard(this->mutex);
-        const auto isWrite = request.operation == ObjectOperation::Put;
-        this->writes += isWrite ? 1 : 0;
-        if (this->fault == StoreFault::NeverAnswer)
-            return;
-        if (this->fault == StoreFault::LoseAllReplies)
-            return request.reply(ObjectReply());
-        if (isWrite && this->fault == StoreFault::LoseOneWriteReply) {
-            this->fault = StoreFault::None;
-            auto reply = std::exchange(request.reply, [](ObjectReply &&) {});
-            call(this->store, std::move(request), decisionNow());
-            return reply(ObjectReply());
-        }
-        call(this->store, std::move(request), decisionNow());
-    }
-};
-
-auto readExample() -> std::string
-{
-    auto file = std::ifstream(EXAMPLES "/kayu-burung.json");
-    auto text = std::stringstream();
-    text << file.rdbuf();
-    return text.str();
-}
-
-auto makePorts(TestStore &store) -> AdminPorts
-{
-    auto ports = AdminPorts();
-    ports.callStore = [&](ObjectCall &&request) { store.serve(std::move(request)); };
-    ports.askLeafStatus = [](LeafStatusAsked &&asked) {
-        auto row = LeafStatus();
-        row.leaf = leafId("catalogue-1", "leaf-1");
-        row.running = 2;
-        asked.reply({row});
-    };
-    ports.askExplain = [](ExplainAsked &&asked) {
-        asked.reply({asked.service == "catalogue-1", {"The target 127.0.0.1:1 is slow."}});
-    };
-    ports.askMetrics = [](MetricsAsked &&asked) { asked.reply("queries_total 1\n"); };
-    return ports;
-}
-
-auto makeView(const Configuration &configuration) -> ClusterViewPtr
-{
-    auto view = ClusterView();
-    view.configuration = std::make_shared<const Configuration>(configuration);
-    view.leafIndex = std::make_shared<const LeafIndex>(buildLeafIndex(*view.configuration));
-    view.assignment = std::make_shared<const Assignment>();
-    view.peers.push_back({instanceId("johor-2"),
-                          Incarnation{1},
-                          "johor-2",
-                          "127.0.0.1:2",
-                          domainId("muar-b"),
-                          true,
-                          false,
-                          Revision{1},
-                          Epoch{1},
-                          {}});
-    return std::make_shared<const ClusterView>(std::move(view));
-}
-
-auto makeSettings() -> AdminSettings
-{
-    auto settings = AdminSettings();
-    settings.tokens = {{"planner", token}, {"auditor", "a-token-of-the-auditor"}};
-    settings.instance = "johor-1";
-    settings.version = "0.0.0";
-    settings.storeTimeout = std::chrono::milliseconds(1);
-    return settings;
-}
-
-const tests::HttpHeaders authorized = {{"Authorization", "Bearer " + token}};
+const tests::HttpHeaders authorized = {{"Authorization", "Bearer " + adminToken}};
 
 auto withChange(const std::string &changeId) -> tests::HttpHeaders
 {
@@ -135,7 +41,7 @@
 SCENARIO("operators decide over the administration listener")
 {
     auto store = TestStore();
-    store.store = makeEmbeddedStore({{std::string(key), readExample()}});
+    store.store = makeEmbeddedStore({{std::string(tests::storedKey), readExample()}});
     auto task = AdminTask(makeSettings(), makePorts(store));
     const auto listening = task.listen("127.0.0.1:0");
     REQUIRE_FALSE(failed(listening));
@@ -163,11 +69,11 @@
             task.post({makeView(configuration)});
             const auto path = std::string("/admin/v1/configuration");
             CHECK(httpCall("GET", address, path).status == 401);
-            const auto wrong = tests::HttpHeaders{{"Authorization", "Bearer " + token + "x"}};
+            const auto wrong = tests::HttpHeaders{{"Authorization", "Bearer " + adminToken + "x"}};
             const auto refused = httpCall("GET", address, path, {}, wrong);
             CHECK(refused.status == 401);
             CHECK(Json::parse(refused.body)["error"]["code"] == "unauthorized");
-            CHECK(refused.body.find(token) == std::string::npos);
+            CHECK(refused.body.find(adminToken) == std::string::npos);
             CHECK(httpCall("POST", address, "/admin/v1/domain/muar-a/out", stateBody("x")).status
                   == 401);
             CHECK(httpCall("GET", address, "/metrics").body == "queries_total 1\n");
