Test the source of configurations and proposals from an old one

Mutations of the fallback to other peers and of the check for newer configurations survived the tests. Both are now tested directly, and all control tests pass.

--- a/tests/core_control.cpp
+++ b/tests/core_control.cpp
@@ -343,6 +343,70 @@
     }
 }
 
+SCENARIO("configurations come from one peer")
+{
+    auto propagation = Propagation();
+    propagation.configuration = std::make_shared<const Configuration>();
+    propagation.assignment = std::make_shared<const Assignment>();
+    const auto now = TimePoint(100s);
+    auto actions = ControlActions();
+    const auto offer = [&](bool fromSource, TimePoint time) {
+        actions.clear();
+        pull(propagation, stateOf(member("far", "b"), Epoch{0}), instanceId("self"), fromSource,
+             time, actions);
+        return actions.size();
+    };
+    SECTION("the source is asked at once, and again only after a while")
+    {
+        CHECK(offer(true, now) == 1);
+        CHECK(offer(true, now + 500ms) == 0);
+        CHECK(offer(true, now + 1s) == 1);
+    }
+    SECTION("another peer is asked when the source doesn't offer it")
+    {
+        // Guards against a source that is heard but can't get the new revision itself.
+        CHECK(offer(false, now) == 0);
+        CHECK(offer(false, now + 500ms) == 0);
+        CHECK(offer(false, now + 1s) == 1);
+    }
+}
+
+SCENARIO("an assignment isn't proposed from an old configuration")
+{
+    // Guards against a placement that gives leafs their former limits again.
+    const auto writesWithPeerAt = [](Revision revision) {
+        auto single = makeSingle();
+        auto writes = std::size_t{0};
+        for (auto step = 0; step < 60; ++step) {
+            single.now += 100ms;
+            auto state = stateOf(member("far", "b"), Epoch{5});
+            state.revision = revision;
+            send(single, state);
+            for (const auto &call : actionsOf<StoreCall>(single)) {
+                writes += call.operation == StoreOperation::Write ? 1 : 0;
+                if (call.operation == StoreOperation::Read)
+                    send(single, StoreReply{call.call, StoreStatus::NotModified, call.version,
+                                            nullptr, nullptr});
+            }
+            state = stateOf(member("near", "a"), Epoch{5});
+            state.leaving = true;
+            send(single, state);
+        }
+        return writes;
+    };
+    GIVEN("a member that leaves")
+    {
+        THEN("a new assignment is written")
+        {
+            CHECK(writesWithPeerAt(Revision{7}) > 0);
+        }
+        THEN("but not while a peer reports a configuration that the instance doesn't know")
+        {
+            CHECK(writesWithPeerAt(Revision{8}) == 0);
+        }
+    }
+}
+
 SCENARIO("a heartbeat is answered with the newest epoch known")
 {
     auto single = makeSingle();
