--- a/core/dispatch.cpp
+++ b/core/dispatch.cpp
@@ -47,12 +47,25 @@
     return Reason::None;
 }
 
+auto rememberRunning(DispatchState &state) -> void
+{
+    for (std::uint32_t index = 0; index < state.attempts.attempts.size(); ++index) {
+        const auto &attempt = state.attempts.attempts[index];
+        if (attempt.phase == AttemptPhase::Free)
+            continue;
+        if (auto *place = remember(state.memory, {attempt.request.origin, attempt.request.attempt}))
+            *place = index;
+    }
+}
+
 auto onLeafRequest(DispatchState &state, const LeafRequest &request, TimePoint now,
                    DispatchActions &actions) -> void
 {
-    const auto key = AttemptKey{request.origin, request.attempt};
+    if (forgetOld(state.memory, now))
+        rememberRunning(state);
     // A duplicate has its answer, or will get it.
-    if (!remember(state.memory, key, now))
+    auto *remembered = remember(state.memory, {request.origin, request.attempt});
+    if (remembered == nullptr)
         return;
     const auto leafIndex = heldLeaf(state, request);
     if (!leafIndex) {
@@ -69,7 +82,7 @@
     attempt.request = request;
     attempt.leaf = *leafIndex;
     attempt.arrived = now;
-    setIndex(state.memory, key, index);
+    *remembered = index;
     wait(state, index, now);
     check(leaf.waiting.entries.size() <= queueCapacity(state, leaf), Invariant::QueueBounded,
           "more requests wait than the queue may hold");
@@ -79,7 +92,7 @@
 auto onCancel(DispatchState &state, const CancelLeafRequest &cancel, TimePoint now,
               DispatchActions &actions) -> void
 {
-    const auto index = findIndex(state.memory, {cancel.origin, cancel.attempt});
+    const auto index = findAttempt(state.attempts, state.memory, {cancel.origin, cancel.attempt});
     if (!index)
         return;
     auto &attempt = state.attempts.attempts[*index];
@@ -169,7 +182,7 @@
 {
     auto &connection = leaf.connections[number(attempt.connection)];
     const auto abandoned = attempt.phase == AttemptPhase::Abandoned;
-    connection.open = reply.connectionOpen && !abandoned;
+    connection.open = reply.connectionOpen;
     if (reply.startId.empty()) {
         // A connection that was closed from here tells nothing about the target.
         if (!reply.connectionOpen && !abandoned && !attempt.cancelled)
@@ -208,6 +221,7 @@
     check(proven, Invariant::AtMostOnce, "a request that may have run is sent again");
     freeConnection(leaf, number(attempt.connection));
     attempt.resent = true;
+    attempt.targetReplied = false;
     attempt.send = {};
     wait(state, index, now);
     return true;
@@ -233,6 +247,43 @@
     sendWaiting(state, leafIndex, now, actions);
 }
 
+// True if a send that has ended here has ended at the target too.
+auto hasEnded(const LeafState &leaf, const Attempt &attempt, const TargetReply &reply,
+              TimePoint now) -> bool
+{
+    // A response, even one that makes no sense, ends the request. So does a cancel, unless the
+    // connection was closed because it was silent.
+    const auto responded = !reply.startId.empty() || reply.connectionOpen;
+    const auto cancelled = attempt.cancelled && attempt.phase == AttemptPhase::Running;
+    return responded || cancelled || reply.outcome == Outcome::Done
+           || provesNotRun(leaf, attempt, reply) || now >= attempt.sentDeadline;
+}
+
+// Keeps the slot of an answered attempt counted until its deadline, and asks the target at once
+// whether it restarted, which would free the slot earlier.
+auto keepSlot(DispatchState &state, std::uint32_t index, TimePoint now, DispatchActions &actions)
+        -> void
+{
+    auto &attempt = state.attempts.attempts[index];
+    if (attempt.phase == AttemptPhase::Abandoned)
+        return;
+    attempt.phase = AttemptPhase::Abandoned;
+    arm(state.attemptTimers, index, attempt.sentDeadline);
+    sendProbe(state, state.leafs[attempt.leaf], ProbeKind::RestartCheck, now, actions);
+}
+
+// Frees the slots of answered attempts whose process has ended.
+auto releaseEnded(DispatchState &state, const LeafState &leaf) -> void
+{
+    for (const auto &connection : leaf.connections) {
+        if (!reachedEndedProcess(leaf, connection))
+            continue;
+        const auto &attempt = state.attempts.attempts[connection.attempt];
+        if (attempt.phase == AttemptPhase::Abandoned && attempt.targetReplied)
+            release(state, connection.attempt);
+    }
+}
+
 auto onTargetReply(DispatchState &state, TargetReply &reply, TimePoint now,
                    DispatchActions &actions) -> void
 {
@@ -245,20 +296,16 @@
     observeTarget(state, leaf, attempt, reply, now);
     if (refusal(leaf) == Reason::TargetLeaving)
         refuseAllWaiting(state, leaf, Reason::TargetLeaving, now, actions);
-    if (attempt.phase == AttemptPhase::Abandoned) {
-        attempt.targetReplied = true;
-        const auto ended = !reply.startId.empty() || provesNotRun(leaf, attempt, reply)
-                           || now >= attempt.sentDeadline;
-        if (ended) {
-            release(state, *index);
-            afterRelease(state, leafIndex, now, actions);
-        }
-        return;
-    }
+    attempt.targetReplied = true;
     if (!waitAgain(state, *index, reply, now)) {
-        answerFromTarget(state, leaf, attempt, reply, now, actions);
-        release(state, *index);
+        if (attempt.phase == AttemptPhase::Running)
+            answerFromTarget(state, leaf, attempt, reply, now, actions);
+        if (hasEnded(leaf, attempt, reply, now))
+            release(state, *index);
+        else
+            keepSlot(state, *index, now, actions);
     }
+    releaseEnded(state, leaf);
     afterRelease(state, leafIndex, now, actions);
 }
 
@@ -275,16 +322,17 @@
     const auto start = leaf.cold.start;
     if (reply.answered)
         showTarget(leaf, reply.startId, reply.state, now);
-    if (probe.silentCheck && reply.answered && leaf.cold.start == start)
+    if (probe.kind == ProbeKind::SilentCheck && reply.answered && leaf.cold.start == start)
         ++leaf.counters.silentConnections;
-    // The abandoned attempt was no fault of one connection: the target itself doesn't answer.
-    if (probe.silentCheck && !reply.answered)
+    // The fault isn't that of one connection: the target itself doesn't answer.
+    if (probe.kind != ProbeKind::Health && !reply.answered)
         startCold(leaf, now);
     if (refusal(leaf) == Reason::TargetLeaving)
         refuseAllWaiting(state, leaf, Reason::TargetLeaving, now, actions);
-    if (probe.checkWanted)
-        sendProbe(state, leaf, true, now, actions);
-    sendWaiting(state, found->second, now, actions);
+    if (probe.wanted != ProbeKind::Health)
+        sendProbe(state, leaf, probe.wanted, now, actions);
+    releaseEnded(state, leaf);
+    afterRelease(state, found->second, now, actions);
 }
 
 auto onWaitingTimer(DispatchState &state, std::uint32_t index, TimePoint now,
@@ -317,7 +365,7 @@
     if (attempt.opensConnection)
         record(leaf.latency, now - attempt.sentAt, now);
     else
-        sendProbe(state, leaf, true, now, actions);
+        sendProbe(state, leaf, ProbeKind::SilentCheck, now, actions);
     if (now < attempt.sentDeadline)
         arm(state.attemptTimers, index, attempt.sentDeadline);
 }
@@ -371,7 +419,7 @@
     const auto interval = state.settings.healthInterval;
     const auto heardLately = now - leaf.lastHeard < interval && leaf.lastHeard != TimePoint();
     if (!heardLately && leaf.out == Reason::None && holdsShare(leaf))
-        sendProbe(state, leaf, false, now, actions);
+        sendProbe(state, leaf, ProbeKind::Health, now, actions);
     arm(state.leafTimers, index, (heardLately ? leaf.lastHeard : now) + interval);
 }
 
@@ -454,8 +502,7 @@
         if (!leaf.used)
             continue;
         const auto limits = rampLimits(leaf);
-        const auto allowed
-                = state.settings.coldRamp ? allowedRequests(leaf.cold, limits) : limits.slots;
+        const auto allowed = allowedNow(leaf, state.settings);
         auto row = LeafStatus();
         row.leaf = leaf.id;
         row.running = leaf.running;
--- a/core/dispatchview.cpp
+++ b/core/dispatchview.cpp
@@ -167,6 +167,9 @@
     if (returned || relisted)
         startCold(leaf, now);
     resizeConnections(leaf, actions);
+    // For a leaf that is new here, or was out, nobody has asked whether the target is leaving.
+    if (returned || leaf.lastHeard == TimePoint())
+        sendProbe(state, leaf, ProbeKind::Health, now, actions);
 }
 
 // Refuses the waiting requests that this holder may not send any more.
@@ -209,6 +212,7 @@
             continue;
         if (gaveUpShare(state, leaf, before[index]))
             state.drain.pending = view->assignment->epoch;
+        resizeRamp(leaf, before[index].size, now);
         updateLeaf(state, leaf, now, actions);
         refuseIneligible(state, leaf, now, actions);
         retireLeaf(state, index, actions);
@@ -221,7 +225,9 @@
     auto &drain = state.drain;
     if (!drain.pending || !drain.unprovable.empty())
         return;
-    const auto exceeds = [](const LeafState &leaf) { return leaf.used && exceedsLimits(leaf); };
+    const auto exceeds = [&](const LeafState &leaf) {
+        return leaf.used && exceedsLimits(leaf, state.settings);
+    };
     if (std::ranges::any_of(state.leafs, exceeds))
         return;
     actions.emplace_back(SharesDrained{*drain.pending});
