--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -247,5 +247,3 @@
 } // namespace
 
 } // namespace crocusreach
-
-BENCHMARK_MAIN();
