--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -247,4 +247,3 @@
 } // namespace
 
 } // namespace crocusreach
-
