--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -8,7 +8,6 @@
     : source(created)
 {
     using Function = std::function<auto()->void>;
-    // The data lives as long as the callback, which may drop the handle while it runs.
     g_source_set_callback(
             created,
             [](gpointer data) -> gboolean {
--- a/standins/worker.h
+++ b/standins/worker.h
@@ -21,7 +21,8 @@
 template <typename T>
 using ObjectPtr = std::unique_ptr<T, ObjectUnref>;
 
-// A source that is removed from its main context when the handle goes.
+// A source that is removed from its main context when the handle goes. The function and what it
+// captured live until it returns, also if it drops the handle.
 class Source
 {
 public:
