--- a/tests/processes.cpp
+++ b/tests/processes.cpp
@@ -153,7 +153,7 @@
 
 auto TemporaryFolder::write(const std::string &name, const std::string &text) const -> std::string
 {
-    const auto file = this->path(name);
+    auto file = this->path(name);
     std::ofstream(file) << text;
     return file;
 }
