Start leases without evidence at the zero of the clock

The undefined-behaviour sanitizer found an overflow where a test took the time left of a lease without evidence, which was the earliest time there is; the other cores compute with it too. It is now zero. A test counts the calls to a store that doesn't answer, since a mutation without the back-off had survived.

--- a/core/lease.cpp
+++ b/core/lease.cpp
@@ -150,7 +150,7 @@
 
 auto leaseEnd(const Lease &lease, const ControlSettings &settings) -> TimePoint
 {
-    return lease.evidenceAt ? *lease.evidenceAt + settings.leaseTime : TimePoint::min();
+    return lease.evidenceAt ? *lease.evidenceAt + settings.leaseTime : TimePoint();
 }
 
 auto adoptShares(Lease &lease, const Assignment *former, const Assignment &next,
--- a/core/lease.h
+++ b/core/lease.h
@@ -52,7 +52,7 @@
 // Notes evidence asked for at that time. Older evidence than the present one changes nothing.
 auto noteEvidence(Lease &lease, TimePoint askedAt) -> void;
 
-// End of the share lease; the beginning of time if there is no evidence.
+// End of the share lease; the zero of the clock if there is no evidence.
 auto leaseEnd(const Lease &lease, const ControlSettings &settings) -> TimePoint;
 
 // Takes over the rights that go on from the former assignment to the next one. A share goes on only
--- a/tests/controlworld.h
+++ b/tests/controlworld.h
@@ -146,8 +146,6 @@
 
 inline auto worldTime(const Node &node, TimePoint local) -> TimePoint
 {
-    if (local == TimePoint::min())
-        return local;
     const auto elapsed = static_cast<double>((local - node.clockOffset).time_since_epoch().count());
     return TimePoint(Duration(static_cast<Duration::rep>(std::ceil(elapsed / node.clockRate))));
 }
--- a/tests/core_control.cpp
+++ b/tests/core_control.cpp
@@ -343,6 +343,29 @@
     }
 }
 
+SCENARIO("the store doesn't answer")
+{
+    // Guards against instances that keep a store busy while it recovers.
+    GIVEN("a member whose calls all fail for a minute")
+    {
+        auto single = makeSingle();
+        auto calls = 0;
+        for (auto step = 0; step < 600; ++step) {
+            single.now += 100ms;
+            send(single, Tick{});
+            for (const auto &call : actionsOf<StoreCall>(single)) {
+                ++calls;
+                send(single, StoreReply{call.call, StoreStatus::Unknown, 0, nullptr, nullptr});
+            }
+        }
+        THEN("it backs off to about one round of calls in five seconds")
+        {
+            CHECK(calls > 5);
+            CHECK(calls < 50);
+        }
+    }
+}
+
 SCENARIO("configurations come from one peer")
 {
     auto propagation = Propagation();
