Let the ramp go on when a lost connection proves no restart

Change: a lost connection makes all of the leaf's connections unverified, which bounds them by the cold slots; the old identity lets the ramp go on.

--- a/core/dispatch.cpp
+++ b/core/dispatch.cpp
@@ -163,7 +163,7 @@
 auto observeReply(DispatchState &state, LeafState &leaf, const Attempt &attempt,
                   const TargetReply &reply, TimePoint now) -> void
 {
-    confirmIdentity(leaf, attempt.doubts, now);
+    confirmIdentity(leaf, attempt.doubts);
     const auto &latency = summarize(leaf.latency, now);
     const auto slow = latency.known && reply.elapsed > latency.p99 * 2;
     const auto shed = reply.reason == Reason::TargetShed;
@@ -186,7 +186,7 @@
     if (reply.startId.empty()) {
         // A connection that was closed from here tells nothing about the target.
         if (!reply.connectionOpen && !abandoned && !attempt.cancelled)
-            startCold(leaf, now);
+            doubtIdentity(leaf.cold);
         return;
     }
     if (!showTarget(leaf, reply.startId, reply.state, now)) {
@@ -326,7 +326,7 @@
         ++leaf.counters.silentConnections;
     // The fault isn't that of one connection: the target itself doesn't answer.
     if (probe.kind != ProbeKind::Health && !reply.answered)
-        startCold(leaf, now);
+        doubtIdentity(leaf.cold);
     if (refusal(leaf) == Reason::TargetLeaving)
         refuseAllWaiting(state, leaf, Reason::TargetLeaving, now, actions);
     if (probe.wanted != ProbeKind::Health)
--- a/core/targets.cpp
+++ b/core/targets.cpp
@@ -176,12 +176,10 @@
     return true;
 }
 
-auto confirmIdentity(LeafState &leaf, std::uint32_t doubts, TimePoint now) -> void
+auto confirmIdentity(LeafState &leaf, std::uint32_t doubts) -> void
 {
-    if (leaf.cold.confirmed || leaf.cold.doubts != doubts)
-        return;
-    leaf.cold.confirmed = true;
-    restartRamp(leaf.cold, rampLimits(leaf), now);
+    if (leaf.cold.doubts == doubts)
+        leaf.cold.confirmed = true;
 }
 
 auto showListing(LeafState &leaf, TargetListing listing) -> bool
--- a/core/targets.h
+++ b/core/targets.h
@@ -146,7 +146,7 @@
 
 // Takes in that a reply has shown the current identity. Doubts is the leaf's number of doubts when
 // its request was sent: a request sent before the latest doubt can't resolve it.
-auto confirmIdentity(LeafState &leaf, std::uint32_t doubts, TimePoint now) -> void;
+auto confirmIdentity(LeafState &leaf, std::uint32_t doubts) -> void;
 
 // Takes in what the instance list says. Returns true if the target came back in the list.
 auto showListing(LeafState &leaf, TargetListing listing) -> bool;
