--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "core/diagnosis.h"
+#include "core/invariants.h"
 #include "log.h"
 
 #include "formats/configurationjson.h"
@@ -380,6 +381,8 @@
 auto Instance::endStop(StopResult result) -> void
 {
     const auto completed = result == StopResult::Completed;
+    check(!completed || (this->stop.queries == 0 && this->stop.requests == 0),
+          Invariant::NothingOpenAtStop, "a stop completed with work in flight");
     logEvent(completed ? LogEvent::StopCompleted : LogEvent::StopDeadlinePassed,
              {{"queries", std::to_string(this->stop.queries)},
               {"requests", std::to_string(this->stop.requests)}});
