Wait longer before a connection counts as silent

Cause: p99.9 of 782 ms at Kelaniya's sizes. Stragglers of 60 ms passed the silent bound (the larger of 3 times p99 and 50 ms): their connections were closed and their slots stayed counted until the deadline, so the queue behind them grew. Hedges cover the query meanwhile, so the early end bought nothing. Change: the larger of 5 times p99 and 250 ms.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -20,9 +20,11 @@
     std::size_t queueCapacity = 64; // requests waiting per share
     Duration rampStep = std::chrono::seconds(2);
     std::uint32_t rampReplies = 8; // replies without a shed before a step ends
-    Duration silentFloor
-            = std::chrono::milliseconds(50); // shortest wait before an attempt counts as silent
-    double silentFactor = 3.0; // times the leaf's p99
+    // An attempt counts as silent after the larger of these two. Closing a connection that only
+    // waits for a straggler costs its slot until the deadline, and hedges cover the query
+    // meanwhile.
+    Duration silentFloor = std::chrono::milliseconds(250);
+    double silentFactor = 5.0; // times the leaf's p99
     Duration healthInterval = std::chrono::seconds(1);
     // Switches for measurements with a mechanism off.
     bool coldRamp = true;
--- a/core/retry.cpp
+++ b/core/retry.cpp
@@ -23,8 +23,9 @@
 {
     if (!idempotent && outcome != Outcome::NotRun)
         return RetryRule::Never;
-    const auto reachedNoTarget = outcome == Outcome::NotRun
-            && (reason == Reason::ConnectFailed || reason == Reason::ConnectionLost);
+    const auto reachedNoTarget
+            = outcome == Outcome::NotRun
+              && (reason == Reason::ConnectFailed || reason == Reason::ConnectionLost);
     if (reachedNoTarget)
         return RetryRule::Free;
     switch (reason) {
