--- a/instance/main.cpp
+++ b/instance/main.cpp
@@ -6,10 +6,13 @@
 #include <gflags/gflags.h>
 #include <glib-unix.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <span>
 #include <sstream>
+#include <string_view>
 
 // The binary crocusreach: one instance until SIGTERM.
 
@@ -23,6 +26,31 @@
 
 namespace {
 
+constexpr auto helpText = R"(crocusreach - one instance of a query tier over many shards
+
+Usage: crocusreach --settings FILE [--check_settings]
+
+  --settings FILE    settings of the instance, JSON with comments; examples/settings.json shows
+                     every key with its default
+  --check_settings   check the settings file, print each fault on a line of its own, and exit
+  --help, --version
+
+The log goes to standard error, one numbered event a line (docs/log-events.md). The line
+listener_opened names the real address of each listener, since port 0 lets the kernel choose.
+SIGTERM starts a graceful stop; a second one ends the process at once.
+
+Exit codes: 0 success, 1 failure, 2 bad usage or settings, 3 stopped before all work ended.
+)";
+
+// gflags' own help lists the flags of all linked libraries.
+auto wantsHelp(std::span<char *const> arguments) -> bool
+{
+    const auto isHelp = [](std::string_view argument) {
+        return argument == "--help" || argument == "-help" || argument == "-h";
+    };
+    return std::any_of(arguments.begin(), arguments.end(), isHelp);
+}
+
 enum ExitCode : std::uint8_t { Success = 0, Failure = 1, BadUsage = 2, StoppedEarly = 3 };
 
 auto readSettings(const std::string &path) -> Result<Settings>
@@ -97,7 +125,10 @@
 auto main(int argc, char **argv) -> int
 {
     gflags::SetVersionString(CROCUSREACH_VERSION);
-    gflags::SetUsageMessage("runs one crocusreach instance\n  crocusreach --settings FILE");
+    if (wantsHelp({argv, static_cast<std::size_t>(argc)})) {
+        std::cout << helpText;
+        return Success;
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty() || argc > 1) {
         std::cerr << "usage: crocusreach --settings FILE [--check-settings]\n";
