Share three pieces of logic that stood twice

Cause: the read-through found the test whether an assignment names a peer in control and in membership, the sum over the kept periods written for services and for targets, and the reader of example files in three tests. Result: no change of behaviour.

--- a/core/account.cpp
+++ b/core/account.cpp
@@ -32,6 +32,20 @@
     ++sums.reasons[static_cast<std::size_t>(attempt.reason)];
 }
 
+// Adds up what the periods kept for one id, by service or by target.
+template <typename Id, typename Sums>
+auto sumPeriods(const RollingAccounts &accounts, std::unordered_map<Id, Sums> AccountPeriod::*map,
+                Id id) -> Sums
+{
+    auto sums = Sums();
+    for (const auto &period : accounts.periods) {
+        const auto found = (period.*map).find(id);
+        if (found != (period.*map).end())
+            add(sums, found->second);
+    }
+    return sums;
+}
+
 } // namespace
 
 auto currentPeriod(RollingAccounts &accounts, TimePoint now) -> AccountPeriod &
@@ -83,24 +97,12 @@
 
 auto sumOf(const RollingAccounts &accounts, ServiceId service) -> ServiceSums
 {
-    auto sums = ServiceSums();
-    for (const auto &period : accounts.periods) {
-        const auto found = period.services.find(service);
-        if (found != period.services.end())
-            add(sums, found->second);
-    }
-    return sums;
+    return sumPeriods(accounts, &AccountPeriod::services, service);
 }
 
 auto sumOf(const RollingAccounts &accounts, LeafId leaf) -> AccountSums
 {
-    auto sums = AccountSums();
-    for (const auto &period : accounts.periods) {
-        const auto found = period.leafs.find(leaf);
-        if (found != period.leafs.end())
-            add(sums, found->second);
-    }
-    return sums;
+    return sumPeriods(accounts, &AccountPeriod::leafs, leaf);
 }
 
 } // namespace crocusreach
--- a/core/control.cpp
+++ b/core/control.cpp
@@ -376,16 +376,9 @@
     prunePeers(state.membership, *state.propagation.assignment, now);
     const auto heartbeat = makeHeartbeat(state, now);
     auto &peers = state.membership.peers;
-    const auto isNamed = [&](const Peer &peer) {
-        const auto matches = [&](const Member &member) {
-            return member.id == peer.member.id && member.incarnation == peer.member.incarnation;
-        };
-        const auto &assignment = *state.propagation.assignment;
-        return std::ranges::any_of(assignment.members, matches)
-               || std::ranges::any_of(assignment.retired, matches);
-    };
+    const auto &assignment = *state.propagation.assignment;
     for (auto &peer : peers) {
-        if (peer.gone || !isNamed(peer))
+        if (peer.gone || !isNamed(assignment, peer))
             continue;
         noteSent(peer, now);
         actions.emplace_back(SendHeartbeat{peer.member.address, heartbeat});
@@ -395,7 +388,7 @@
     state.nextSeeds = now + seedInterval;
     for (const auto &seed : state.settings.seeds) {
         const auto known = std::ranges::any_of(peers, [&](const Peer &peer) {
-            return peer.member.address == seed && isNamed(peer);
+            return peer.member.address == seed && isNamed(assignment, peer);
         });
         if (!known && seed != state.settings.self.address)
             actions.emplace_back(SendHeartbeat{seed, heartbeat});
--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -194,17 +194,20 @@
     });
 }
 
-auto prunePeers(Membership &membership, const Assignment &assignment, TimePoint now) -> void
+auto isNamed(const Assignment &assignment, const Peer &peer) -> bool
 {
-    const auto isNamed = [&](const Peer &peer) {
-        const auto matches = [&](const Member &member) {
-            return samePeer(member, peer.member.id, peer.member.incarnation);
-        };
-        return std::ranges::any_of(assignment.members, matches)
-               || std::ranges::any_of(assignment.retired, matches);
+    const auto matches = [&](const Member &member) {
+        return samePeer(member, peer.member.id, peer.member.incarnation);
     };
+    return std::ranges::any_of(assignment.members, matches)
+           || std::ranges::any_of(assignment.retired, matches);
+}
+
+auto prunePeers(Membership &membership, const Assignment &assignment, TimePoint now) -> void
+{
     std::erase_if(membership.peers, [&](const Peer &peer) {
-        return !isNamed(peer) && now - peer.heardAt.value_or(peer.knownSince) > listLagBound;
+        return !isNamed(assignment, peer)
+               && now - peer.heardAt.value_or(peer.knownSince) > listLagBound;
     });
 }
 
--- a/core/membership.h
+++ b/core/membership.h
@@ -87,6 +87,9 @@
 auto isSuspectedByAll(const Membership &membership, const Assignment &assignment, const Peer &peer,
                       TimePoint now) -> bool;
 
+// True if the assignment lists this start of the peer as a member or as retired.
+auto isNamed(const Assignment &assignment, const Peer &peer) -> bool;
+
 // Forgets peers that are neither in the assignment nor heard lately.
 auto prunePeers(Membership &membership, const Assignment &assignment, TimePoint now) -> void;
 
--- a/tests/formats_configuration.cpp
+++ b/tests/formats_configuration.cpp
@@ -1,23 +1,13 @@
 #include <catch2/catch.hpp>
 
+#include "examples.h"
 #include "formats/configurationjson.h"
 #include "formats/timetext.h"
 
-#include <fstream>
-#include <sstream>
-
 using namespace crocusreach;
 
 namespace {
 
-auto readExample(const std::string &name) -> std::string
-{
-    auto file = std::ifstream(EXAMPLES "/" + name);
-    auto text = std::stringstream();
-    text << file.rdbuf();
-    return text.str();
-}
-
 auto faultOf(const std::string &text) -> std::string
 {
     const auto result = parseConfiguration(text, "c.json");
--- a/tests/formats_mutation.cpp
+++ b/tests/formats_mutation.cpp
@@ -1,27 +1,18 @@
 #include <catch2/catch.hpp>
 
+#include "examples.h"
 #include "formats/configurationjson.h"
 #include "formats/querymessages.h"
 #include "formats/settings.h"
 #include "formats/sheetcsv.h"
 
 #include <cstdlib>
-#include <fstream>
 #include <random>
-#include <sstream>
 
 using namespace crocusreach;
 
 namespace {
 
-auto readExample(const std::string &name) -> std::string
-{
-    auto file = std::ifstream(EXAMPLES "/" + name);
-    auto text = std::stringstream();
-    text << file.rdbuf();
-    return text.str();
-}
-
 // Inputs in all. The long form is run by CROCUSREACH_MUTATIONS=100000.
 auto inputCount() -> std::size_t
 {
--- a/tests/formats_sheet.cpp
+++ b/tests/formats_sheet.cpp
@@ -1,24 +1,14 @@
 #include <catch2/catch.hpp>
 
+#include "examples.h"
 #include "formats/configurationjson.h"
 #include "formats/sheetcsv.h"
 #include "formats/timetext.h"
 
-#include <fstream>
-#include <sstream>
-
 using namespace crocusreach;
 
 namespace {
 
-auto readExample(const std::string &name) -> std::string
-{
-    auto file = std::ifstream(EXAMPLES "/" + name);
-    auto text = std::stringstream();
-    text << file.rdbuf();
-    return text.str();
-}
-
 constexpr auto columns = "kind,name,state,reason\n";
 
 auto withRows(const std::string &count, const std::string &rows) -> std::string
