--- a/core/configuration.cpp
+++ b/core/configuration.cpp
@@ -35,6 +35,14 @@
            && port <= 65535;
 }
 
+// "list[index]"
+auto itemPath(std::string_view list, std::size_t index) -> std::string
+{
+    auto path = std::string(list);
+    path.append("[").append(std::to_string(index)).append("]");
+    return path;
+}
+
 auto fieldError(std::string path, std::string text) -> Error
 {
     return {Step::Configuration, std::move(path), std::move(text)};
@@ -98,7 +106,7 @@
     auto served = std::vector<bool>(service.shardCount > mostShards ? 0 : service.shardCount);
     for (std::size_t index = 0; index < service.leafs.size(); ++index) {
         const auto &leaf = service.leafs[index];
-        const auto leafPath = path + ".leafs[" + std::to_string(index) + "]";
+        const auto leafPath = itemPath(path + ".leafs", index);
         checkLeaf(leaf, service, configuration, leafPath, errors);
         checkUnique(leafIds, leaf.id, leafPath, errors);
         for (const auto shard : leaf.shards) {
@@ -119,7 +127,7 @@
                 + std::to_string(leaf.coldSlots) + ", connections "
                 + std::to_string(leaf.connections) + ", shards";
     for (const auto shard : leaf.shards)
-        text += " " + std::to_string(number(shard));
+        text.append(" ").append(std::to_string(number(shard)));
     return text;
 }
 
@@ -196,7 +204,7 @@
     auto domainIds = std::set<DomainId>();
     for (std::size_t index = 0; index < configuration.domains.size(); ++index) {
         const auto &domain = configuration.domains[index];
-        const auto path = "failure_domains[" + std::to_string(index) + "]";
+        const auto path = itemPath("failure_domains", index);
         checkName(domain.name, path, errors);
         checkName(domain.region, path + ".region", errors);
         checkUnique(domainIds, domain.id, path, errors);
@@ -205,14 +213,14 @@
     auto leafIds = std::set<LeafId>();
     for (std::size_t index = 0; index < configuration.services.size(); ++index) {
         const auto &service = configuration.services[index];
-        const auto path = "services[" + std::to_string(index) + "]";
+        const auto path = itemPath("services", index);
         checkUnique(serviceIds, service.id, path, errors);
         checkService(service, configuration, path, leafIds, errors);
     }
     auto instanceIds = std::set<InstanceId>();
     for (std::size_t index = 0; index < configuration.instances.size(); ++index) {
         const auto &instance = configuration.instances[index];
-        const auto path = "instances[" + std::to_string(index) + "]";
+        const auto path = itemPath("instances", index);
         checkName(instance.name, path, errors);
         checkUnique(instanceIds, instance.id, path, errors);
     }
--- /dev/null
+++ b/core/forwarder.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "forwardmessages.h"
+#include "forwardstate.h"
+#include "leaftable.h"
+#include "placement.h"
+#include "repeatbudget.h"
+#include "routing.h"
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+// The decisions between a caller's request and its answer: where it goes, when it is sent again,
+// when an answer with missing shards is given, and when it is turned away.
+
+namespace crocusreach::forward {
+
+// Counters since the start, for the metrics.
+struct ForwarderCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t sends = 0;
+    std::uint64_t opens = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t hedgesDenied = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t retriesDenied = 0;
+    std::uint64_t sheds = 0; // answers of leafs that did not run the request
+    std::uint64_t misdirected = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t invalid = 0;
+    std::uint64_t notSent = 0;
+    std::uint64_t overdue = 0; // sends that got no answer in their time
+    std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::Count)> ends = {};
+};
+
+// Entry of the alarm queue. An alarm of a call or send that has ended is ignored.
+struct Alarm
+{
+    TimePoint at = {};
+    bool ofSend = false;
+    std::uint64_t id = 0;
+
+    auto operator>(const Alarm &other) const -> bool { return this->at > other.at; }
+};
+
+struct Forwarder
+{
+    ForwarderSettings settings;
+    ForwarderCounters counters;
+    RouteTablePtr table;
+    LeafTable leafs;
+    InstanceShare share;
+    bool instancesKnown = false;
+    RandomState random;
+    std::unordered_map<CallId, std::unique_ptr<Call>> calls;
+    std::unordered_map<SendId, Send> sends;
+    std::unordered_map<LinkId, LeafIndexNumber> links;
+    std::unordered_map<std::string, std::unique_ptr<RouteStats>> routes; // by name
+    std::unordered_map<std::string, RepeatBudget> budgets; // by service
+    std::set<WaitingKey> waiting;
+    std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms;
+    std::uint64_t lastSend = 0;
+    std::uint64_t lastLink = 0;
+};
+
+// Takes in settings, at the start and whenever they change.
+auto configure(Forwarder &forwarder, const ForwarderSettings &settings) -> void;
+
+auto handle(Forwarder &forwarder, const ForwardEvent &event, TimePoint now,
+            std::vector<ForwardAction> &actions) -> void;
+
+// The time at which a ForwarderTick is due.
+auto nextWake(const Forwarder &forwarder) -> std::optional<TimePoint>;
+
+// True once a desired state and at least one leaf are known.
+auto canServe(const Forwarder &forwarder) -> bool;
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/forwardmessages.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include "leaftable.h"
+#include "repeatbudget.h"
+#include "routetable.h"
+#include "types.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+// What the forwarder takes in and gives out. Nothing here knows how a message is encoded.
+
+namespace crocusreach::forward {
+
+struct ForwarderSettings
+{
+    std::string domain; // failure domain of this instance
+    RepeatLimits repeats;
+    double coldOvershoot = 1;
+    // A leaf gets nothing this long after it has left the registry.
+    Duration drainTime = std::chrono::seconds(3);
+    // Assumed until the number of instances is known. Too low a number would let them exceed what
+    // they share.
+    std::uint32_t assumedInstances = 16;
+    std::uint64_t seed = 1;
+};
+
+// A caller's request at this instance; unique in the life of the process.
+enum class CallId : std::uint64_t {};
+
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+};
+
+// A caller's request as received. It is passed on unchanged.
+struct ForwardRequest
+{
+    std::string id; // chosen by the caller, new for each attempt of it
+    std::string method;
+    std::string host;
+    std::string target; // path and query
+    std::vector<HeaderField> headers; // those that go to a leaf
+    std::string body;
+    Duration timeLeft = {}; // how long the caller waits
+};
+
+using ForwardRequestPtr = std::shared_ptr<const ForwardRequest>;
+
+enum class LeafAnswerKind : std::uint8_t {
+    Success,
+    Failure, // the leaf ran the request, or may have
+    NotRun, // the leaf states that it did not run the request
+    OtherLeaf, // another leaf has the address; it did not run the request
+};
+
+struct LeafAnswer
+{
+    LeafAnswerKind kind = LeafAnswerKind::Failure;
+    std::uint32_t status = 0; // of HTTP; 0 if the answer can't be passed on
+    // The status alone tells a caller that the request has not run, though the leaf doesn't state it.
+    bool soundsNotRun = false;
+    std::string receipt; // the leaf's proof that it answered this request; empty if it gave none
+    std::optional<ReportedLoad> load;
+    std::vector<HeaderField> headers; // those that go to the caller
+    std::string body;
+};
+
+enum class SendFailure : std::uint8_t {
+    NotSent, // no byte of the request can have reached the leaf
+    Lost, // the connection ended without an answer
+    Invalid, // what came is no whole answer to this request
+};
+
+// Events.
+
+struct RequestArrived
+{
+    CallId call = {};
+    ForwardRequestPtr request;
+};
+
+struct CallerLeft
+{
+    CallId call = {};
+};
+
+struct LeafAnswered
+{
+    SendId send = {};
+    LeafAnswer answer;
+    bool linkUsable = false; // the connection takes further requests
+    Duration idleLimit = {}; // of the connection; 0: not stated
+};
+
+// The connection of the send is closed.
+struct SendFailed
+{
+    SendId send = {};
+    SendFailure failure = SendFailure::Lost;
+};
+
+// An idle connection was closed by the leaf.
+struct LinkClosed
+{
+    LinkId link = {};
+};
+
+struct RoutesChanged
+{
+    RouteTablePtr table;
+};
+
+struct LeafsRegistered
+{
+    std::vector<LeafRecord> leafs;
+};
+
+struct LeafsRemoved
+{
+    std::vector<std::string> ids;
+    bool registryWasAway = false; // the entries may have lapsed although the leafs live
+};
+
+// The domains that get nothing, in full.
+struct DomainsEvacuated
+{
+    std::set<std::string, std::less<>> domains;
+};
+
+struct InstancesCounted
+{
+    std::uint32_t instances = 1;
+};
+
+struct SettingsChanged
+{
+    ForwarderSettings settings;
+};
+
+struct ForwarderTick
+{ };
+
+using ForwardEvent = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, LinkClosed,
+                                  RoutesChanged, LeafsRegistered, LeafsRemoved, DomainsEvacuated,
+                                  InstancesCounted, SettingsChanged, ForwarderTick>;
+
+// Actions.
+
+struct SendToLeaf
+{
+    SendId send = {};
+    LinkId link = {};
+    bool open = false; // the link is new
+    std::string address;
+    std::string leafId; // any other leaf refuses the request
+    ForwardRequestPtr request;
+    Duration timeLeft = {};
+};
+
+// Closes a connection whatever happens on it. Its send gets no further event.
+struct CloseLink
+{
+    LinkId link = {};
+};
+
+// A leaf's answer, unchanged.
+struct PassedAnswer
+{
+    LeafAnswer answer;
+};
+
+struct MergedAnswer
+{
+    std::vector<std::string> receipts; // of the parts that are in
+    std::size_t missing = 0; // shards that are left out
+    std::string body;
+};
+
+enum class OwnStatus : std::uint8_t {
+    NoRoute, // no route matches
+    NotRun, // no leaf has run the request and none will
+    Failed, // leafs failed, or may have run the request
+    TimedOut,
+};
+
+struct OwnAnswer
+{
+    OwnStatus status = OwnStatus::Failed;
+    std::optional<Duration> retryAfter;
+};
+
+using CallAnswer = std::variant<PassedAnswer, MergedAnswer, OwnAnswer>;
+
+// Why a call ended as it did, for the log and the counters.
+enum class CallEnd : std::uint8_t {
+    Complete,
+    Partial, // shards are missing since their answers were not worth waiting for
+    LeafFailure, // a leaf's failure was passed on
+    NoRoutes, // no desired state is known yet
+    NoRoute,
+    NoLeaf,
+    Overloaded,
+    TooFewShards,
+    BudgetExhausted,
+    MayHaveRun,
+    TimedOut,
+    CallerLeft,
+    Count
+};
+
+auto toString(CallEnd end) -> std::string_view;
+
+struct CallSummary
+{
+    std::string requestId;
+    std::string route;
+    std::uint64_t version = 0; // of the desired state that decided
+    CallEnd end = CallEnd::Complete;
+    Duration spent = {};
+    Duration timeLeftAtArrival = {};
+    std::size_t parts = 0;
+    std::size_t missing = 0;
+    std::uint32_t sends = 0;
+    std::uint32_t hedges = 0;
+    std::uint32_t retries = 0;
+    bool late = false; // beyond the route's target latency
+    std::string waitedFor; // leaf of the last answer, or one that was missing
+    Duration leafAge = {}; // since that leaf's last answer
+};
+
+struct AnswerCaller
+{
+    CallId call = {};
+    CallAnswer answer;
+};
+
+struct CallEnded
+{
+    CallSummary summary;
+};
+
+using ForwardAction = std::variant<SendToLeaf, CloseLink, AnswerCaller, CallEnded>;
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/forwardstate.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "forwardmessages.h"
+#include "latency.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+// The calls and sends in progress at a forwarder.
+
+namespace crocusreach::forward {
+
+struct RouteStats;
+
+// Calls that wait for a connection: the most urgent first, then the one that ends first.
+using WaitingKey = std::tuple<std::uint32_t, TimePoint, CallId>;
+
+enum class PartState : std::uint8_t { Open, Answered, GivenUp };
+
+// One shard of a call; a call to a single service has one part.
+struct Part
+{
+    std::string_view service; // owned by the call's route table
+    PartState state = PartState::Open;
+    std::vector<LeafIndexNumber> tried;
+    std::vector<SendId> running;
+    std::uint32_t attempts = 0;
+    TimePoint hedgeAt = TimePoint::max();
+    bool mayHaveRun = false; // a send ended without proof that it did not run
+    bool doubtful = false; // the latest send went to a leaf that stands still or failed lately
+    CallEnd lostBy = CallEnd::TooFewShards; // why it was given up
+    LeafAnswer answer; // valid if answered; otherwise the latest failure, if it has a status
+};
+
+struct Call
+{
+    CallId id = {};
+    ForwardRequestPtr request;
+    RouteTablePtr table; // keeps the route and the services' names
+    const Route *route = nullptr;
+    RouteStats *stats = nullptr;
+    TimePoint arrivedAt = {};
+    TimePoint endAt = {}; // the last moment for an answer
+    TimePoint partialAt = {}; // from here on, an answer with missing shards is given
+    std::vector<Part> parts;
+    std::uint32_t sends = 0;
+    std::uint32_t hedges = 0;
+    std::uint32_t retries = 0;
+    std::optional<WaitingKey> waiting;
+    std::optional<LeafIndexNumber> lastLeaf; // of the latest answer
+};
+
+struct Send
+{
+    SendId id = {};
+    CallId call = {};
+    std::size_t part = 0;
+    RouteStats *stats = nullptr;
+    LeafIndexNumber leaf = {};
+    LinkId link = {};
+    bool opened = false;
+    bool idempotent = false;
+    TimePoint sentAt = {};
+    TimePoint endAt = {}; // without an answer, the connection is closed
+};
+
+// What the requests on one route have shown.
+struct RouteStats
+{
+    LatencyHistogram latency = makeLatencyHistogram();
+    Duration usual = {}; // median of a leaf's latency; 0 until known
+    std::uint32_t sinceUpdate = 0;
+    Duration longestTimeLeft = {}; // that a caller gave; a repeated request has less
+    std::vector<double> splitCredit; // of the split's parts
+};
+
+// The median latency of a leaf on the route, or an assumption until there are enough answers.
+auto usualLatency(const RouteStats &stats, const Route &route) -> Duration;
+auto recordLatency(RouteStats &stats, Duration latency, TimePoint now) -> void;
+
+// Parts of a call that must be in for a success.
+auto requiredParts(const Call &call) -> std::size_t;
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/leaftable.cpp
@@ -0,0 +1,147 @@
+#include "leaftable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace crocusreach::forward {
+
+namespace {
+
+// Weight of a new observation of the slowness.
+constexpr double newWeight = 0.3;
+// Without answers, half of the deviation from the usual speed is forgotten in this time. Leafs turn
+// slow for some seconds.
+constexpr auto slownessHalfLife = std::chrono::seconds(3);
+constexpr double leastSlowness = 0.5;
+constexpr double greatestSlowness = 20;
+
+// After one failure a leaf is passed over for this time, doubled with each further one.
+constexpr Duration shortestAvoidance = std::chrono::milliseconds(100);
+constexpr Duration longestAvoidance = std::chrono::seconds(2);
+constexpr std::uint32_t mostDoublings = 5;
+
+auto unlist(LeafTable &table, LeafIndexNumber index) -> void
+{
+    auto &leaf = leafAt(table, index);
+    leaf.listed = false;
+    leaf.removeAt.reset();
+    auto &list = table.byService[leaf.record.service];
+    std::erase(list, index);
+    if (list.empty())
+        table.byService.erase(leaf.record.service);
+}
+
+auto startAnew(LeafState &leaf) -> void
+{
+    leaf.misdirected = false;
+    leaf.slowness = 1;
+    leaf.load = {};
+    leaf.loadAt = {};
+    leaf.failuresInRow = 0;
+    leaf.avoidUntil = {};
+}
+
+} // namespace
+
+auto leafAt(LeafTable &table, LeafIndexNumber index) -> LeafState &
+{
+    return table.leafs[static_cast<std::size_t>(index)];
+}
+
+auto putLeaf(LeafTable &table, const LeafRecord &record, TimePoint now) -> void
+{
+    const auto found = table.byId.find(record.id);
+    auto index = LeafIndexNumber(table.leafs.size());
+    if (found == table.byId.end()) {
+        table.leafs.emplace_back();
+        table.byId.emplace(record.id, index);
+    } else {
+        index = found->second;
+    }
+    auto &leaf = leafAt(table, index);
+    if (record.revision < leaf.record.revision)
+        return;
+    if (leaf.listed && leaf.record.service != record.service)
+        unlist(table, index);
+    const auto restarted = leaf.record.startedAt != record.startedAt
+                           || leaf.record.address != record.address;
+    if (restarted || leaf.record.revision != record.revision)
+        leaf.misdirected = false;
+    if (restarted)
+        startAnew(leaf);
+    leaf.record = record;
+    leaf.removeAt.reset();
+    if (record.coldLeft > Duration())
+        leaf.coldUntil = now + record.coldLeft;
+    if (!std::exchange(leaf.listed, true))
+        table.byService[record.service].push_back(index);
+}
+
+auto removeLeaf(LeafTable &table, std::string_view id, TimePoint effectiveAt) -> void
+{
+    const auto found = table.byId.find(std::string(id));
+    if (found == table.byId.end() || !leafAt(table, found->second).listed)
+        return;
+    auto &leaf = leafAt(table, found->second);
+    if (leaf.record.draining)
+        return unlist(table, found->second);
+    if (!leaf.removeAt)
+        leaf.removeAt = effectiveAt;
+    table.nextRemoval = std::min(table.nextRemoval.value_or(effectiveAt), *leaf.removeAt);
+}
+
+auto applyRemovals(LeafTable &table, TimePoint now) -> void
+{
+    if (!table.nextRemoval || now < *table.nextRemoval)
+        return;
+    table.nextRemoval.reset();
+    for (std::size_t number = 0; number < table.leafs.size(); ++number) {
+        auto &leaf = table.leafs[number];
+        if (!leaf.removeAt)
+            continue;
+        if (*leaf.removeAt <= now)
+            unlist(table, LeafIndexNumber(number));
+        else
+            table.nextRemoval = std::min(table.nextRemoval.value_or(*leaf.removeAt),
+                                         *leaf.removeAt);
+    }
+}
+
+auto isUsable(const LeafTable &table, const LeafState &leaf) -> bool
+{
+    return leaf.listed && !leaf.record.draining && !leaf.misdirected
+           && !table.evacuated.contains(leaf.record.domain);
+}
+
+auto isStalled(const LeafState &leaf, TimePoint now) -> bool
+{
+    return std::any_of(leaf.outstanding.begin(), leaf.outstanding.end(),
+                       [now](const OutstandingSend &send) { return send.overdueAt <= now; });
+}
+
+auto slownessOf(const LeafState &leaf, TimePoint now) -> double
+{
+    const auto halvings = std::chrono::duration<double>(now - leaf.slownessAt) / slownessHalfLife;
+    return 1 + (leaf.slowness - 1) * std::exp2(-std::max(0.0, halvings));
+}
+
+auto noteAnswer(LeafState &leaf, std::optional<double> ratio, TimePoint now) -> void
+{
+    leaf.failuresInRow = 0;
+    leaf.avoidUntil = {};
+    if (!ratio)
+        return;
+    const auto former = slownessOf(leaf, now);
+    leaf.slowness = std::clamp(former + newWeight * (*ratio - former), leastSlowness,
+                               greatestSlowness);
+    leaf.slownessAt = now;
+}
+
+auto noteFailure(LeafState &leaf, TimePoint now) -> void
+{
+    const auto doublings = std::min(leaf.failuresInRow++, mostDoublings);
+    leaf.avoidUntil = now + std::min(shortestAvoidance * (1U << doublings), longestAvoidance);
+}
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/lifecycle.cpp
@@ -0,0 +1,69 @@
+#include "lifecycle.h"
+
+#include <algorithm>
+#include <array>
+
+namespace crocusreach::forward {
+
+namespace {
+
+// The balancer asks each second whether an instance is ready and takes it out after two misses.
+// A connection that it has opened by then still brings a request a little later.
+constexpr Duration balancerTime = std::chrono::milliseconds(3300);
+// The process must be gone before it is killed.
+constexpr Duration exitMargin = std::chrono::milliseconds(300);
+
+auto idleCloseAt(const Lifecycle &lifecycle) -> TimePoint
+{
+    const auto longest = lifecycle.settings.grace / 2;
+    return *lifecycle.stopRequestedAt + std::min(balancerTime, Duration(longest * 5 / 4));
+}
+
+auto lastExitAt(const Lifecycle &lifecycle) -> TimePoint
+{
+    return *lifecycle.stopRequestedAt + lifecycle.settings.grace - exitMargin;
+}
+
+} // namespace
+
+auto requestStop(Lifecycle &lifecycle, TimePoint now) -> void
+{
+    if (!lifecycle.stopRequestedAt)
+        lifecycle.stopRequestedAt = now;
+}
+
+auto isReady(Lifecycle &lifecycle, bool canServe) -> bool
+{
+    lifecycle.readyOnce = lifecycle.readyOnce || canServe;
+    return lifecycle.readyOnce && !lifecycle.stopRequestedAt;
+}
+
+auto announcesClose(const Lifecycle &lifecycle) -> bool
+{
+    return lifecycle.stopRequestedAt.has_value();
+}
+
+auto closesIdle(const Lifecycle &lifecycle, TimePoint now) -> bool
+{
+    return lifecycle.stopRequestedAt && now >= idleCloseAt(lifecycle);
+}
+
+auto mayExit(const Lifecycle &lifecycle, std::size_t openRequests, TimePoint now) -> bool
+{
+    if (!lifecycle.stopRequestedAt)
+        return false;
+    return (openRequests == 0 && now >= idleCloseAt(lifecycle)) || now >= lastExitAt(lifecycle);
+}
+
+auto nextWake(const Lifecycle &lifecycle, TimePoint now) -> std::optional<TimePoint>
+{
+    if (!lifecycle.stopRequestedAt)
+        return {};
+    for (const auto at : std::to_array({idleCloseAt(lifecycle), lastExitAt(lifecycle)})) {
+        if (now < at)
+            return at;
+    }
+    return now;
+}
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/lifecycle.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+// When an instance behind a balancer is ready, and how it stops without cutting off a request.
+
+namespace crocusreach::forward {
+
+struct LifecycleSettings
+{
+    // The balancer kills the process this long after it was asked to stop.
+    Duration grace = std::chrono::seconds(6);
+};
+
+struct Lifecycle
+{
+    LifecycleSettings settings;
+    std::optional<TimePoint> stopRequestedAt;
+    bool readyOnce = false;
+};
+
+auto requestStop(Lifecycle &lifecycle, TimePoint now) -> void;
+
+// Ready as soon as requests can be served, until a stop is asked for. A later loss of the store
+// doesn't make the instance unready: it serves with what it knows.
+auto isReady(Lifecycle &lifecycle, bool canServe) -> bool;
+
+// Answers announce the end of their connection from the stop request on.
+auto announcesClose(const Lifecycle &lifecycle) -> bool;
+
+// Idle connections are closed once the balancer sends nothing new.
+auto closesIdle(const Lifecycle &lifecycle, TimePoint now) -> bool;
+
+// True once all requests have ended and no new ones can come, or the grace time is nearly over.
+auto mayExit(const Lifecycle &lifecycle, std::size_t openRequests, TimePoint now) -> bool;
+
+// The next time at which one of the answers above may change.
+auto nextWake(const Lifecycle &lifecycle, TimePoint now) -> std::optional<TimePoint>;
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/placement.cpp
@@ -0,0 +1,152 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace crocusreach::forward {
+
+namespace {
+
+// Bytes between failure domains cost, and the way there and back takes 1 to 3 ms.
+constexpr Duration otherDomainCost = std::chrono::milliseconds(3);
+// A new connection takes a leaf up to this time.
+constexpr Duration openCost = std::chrono::milliseconds(6);
+// Leafs that stand still do so for up to 200 ms.
+constexpr Duration stalledCost = std::chrono::milliseconds(200);
+constexpr Duration avoidedCost = std::chrono::seconds(2);
+// Spreads choices between equal leafs.
+constexpr Duration jitter = std::chrono::milliseconds(1);
+// A cold leaf works slower by about this part.
+constexpr double coldExtra = 0.6;
+// A reported load says little after this time.
+constexpr Duration loadValidity = std::chrono::milliseconds(300);
+// Of the stated limit of connections, the part that instances share out. The rest is for
+// connections that an ended instance has left behind.
+constexpr double sharedConnections = 0.9;
+// Of the stated cold rate, the part that instances share out.
+constexpr double sharedColdRate = 0.5;
+// An idle connection isn't used in the last part of its announced idle time, since the leaf may
+// close it while the request is on its way.
+constexpr double usedIdleTime = 0.7;
+// Assumed for a leaf that states none.
+constexpr Duration assumedIdleLimit = std::chrono::seconds(4);
+
+auto isFresh(const Link &link, TimePoint now) -> bool
+{
+    const auto limit = link.idleLimit > Duration() ? link.idleLimit : assumedIdleLimit;
+    return std::chrono::duration<double>(now - link.idleSince)
+           < usedIdleTime * std::chrono::duration<double>(limit);
+}
+
+// The link that was idle for the shortest time.
+auto newestIdle(const LeafState &leaf, TimePoint now) -> const Link *
+{
+    const Link *best = nullptr;
+    for (const auto &link : leaf.links) {
+        if (link.state == LinkState::Idle && isFresh(link, now)
+            && (best == nullptr || link.idleSince > best->idleSince))
+            best = &link;
+    }
+    return best;
+}
+
+auto busyRequests(const LeafState &leaf, TimePoint now) -> double
+{
+    const auto own = static_cast<double>(leaf.outstanding.size());
+    if (now - leaf.loadAt > loadValidity)
+        return own;
+    const auto reported = static_cast<double>(leaf.load.running + leaf.load.waiting);
+    return std::max(own, reported);
+}
+
+auto scaled(Duration duration, double factor) -> Duration
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+auto expectedTime(const LeafState &leaf, const PlacementQuery &query, bool opens, TimePoint now)
+        -> Duration
+{
+    const auto slots = static_cast<double>(std::max(1U, leaf.record.slots));
+    const auto busy = busyRequests(leaf, now);
+    // Time in the leaf's queue, in units of one request's work, and a slighter slowing before.
+    const auto queueing = std::max(0.0, busy + 1 - slots) / slots + 0.3 * busy / slots;
+    auto factor = slownessOf(leaf, now) * (1 + queueing);
+    if (now < leaf.coldUntil)
+        factor += coldExtra;
+    auto time = scaled(query.usualLatency, factor);
+    if (leaf.record.domain != query.ownDomain)
+        time += otherDomainCost;
+    if (opens)
+        time += openCost;
+    if (isStalled(leaf, now))
+        time += stalledCost;
+    if (now < leaf.avoidUntil)
+        time += avoidedCost;
+    return time;
+}
+
+auto mayTakeCold(const LeafState &leaf, const PlacementQuery &query, TimePoint now) -> bool
+{
+    const auto limited = query.spec != nullptr && query.spec->coldRate > 0;
+    return !limited || now >= leaf.coldUntil || now >= leaf.nextColdSend;
+}
+
+} // namespace
+
+auto linkLimit(const ServiceSpec *spec, const InstanceShare &share) -> std::size_t
+{
+    if (spec == nullptr || spec->maxConnections == 0)
+        return std::numeric_limits<std::size_t>::max();
+    const auto part = sharedConnections * spec->maxConnections / std::max(1U, share.instances);
+    return std::max(std::size_t(1), static_cast<std::size_t>(part));
+}
+
+auto placeSend(LeafTable &table, const PlacementQuery &query, const InstanceShare &share,
+               RandomState &random, TimePoint now) -> std::optional<Placement>
+{
+    const auto list = table.byService.find(std::string(query.service));
+    if (list == table.byService.end())
+        return {};
+    const auto limit = linkLimit(query.spec, share);
+    auto best = std::optional<Placement>();
+    auto bestTime = Duration::max();
+    for (const auto index : list->second) {
+        auto &leaf = leafAt(table, index);
+        const auto wasTried = std::find(query.tried.begin(), query.tried.end(), index)
+                              != query.tried.end();
+        if (wasTried || !isUsable(table, leaf) || !mayTakeCold(leaf, query, now))
+            continue;
+        const auto *link = newestIdle(leaf, now);
+        if (link == nullptr && leaf.links.size() >= limit)
+            continue;
+        const auto spread = static_cast<Duration::rep>(nextRandom(random)
+                                                       % static_cast<std::uint64_t>(jitter.count()));
+        const auto time = expectedTime(leaf, query, link == nullptr, now) + Duration(spread);
+        if (time >= bestTime)
+            continue;
+        bestTime = time;
+        best = Placement{index, {}, isStalled(leaf, now) || now < leaf.avoidUntil};
+        if (link != nullptr)
+            best->idleLink = link->id;
+    }
+    if (!best)
+        return best;
+    auto &leaf = leafAt(table, best->leaf);
+    if (now < leaf.coldUntil && query.spec != nullptr && query.spec->coldRate > 0) {
+        const auto rate = sharedColdRate * share.coldOvershoot * query.spec->coldRate;
+        leaf.nextColdSend = now + scaled(std::chrono::seconds(1), share.instances / rate);
+    }
+    return best;
+}
+
+auto hasUsableLeaf(LeafTable &table, std::string_view service) -> bool
+{
+    const auto list = table.byService.find(std::string(service));
+    return list != table.byService.end()
+           && std::any_of(list->second.begin(), list->second.end(), [&](LeafIndexNumber index) {
+                  return isUsable(table, leafAt(table, index));
+              });
+}
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/placement.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "leaftable.h"
+#include "routing.h"
+
+#include <optional>
+#include <span>
+
+// Choice of the leaf for one send. It answers these loads: leafs that stand still for a moment each
+// few seconds, leafs that turn slow or full, connections that cost time to open and are capped over
+// all instances, and leafs in other failure domains, to which bytes are dear.
+
+namespace crocusreach::forward {
+
+// What this instance may use of a leaf, as its part of what all instances may.
+struct InstanceShare
+{
+    std::uint32_t instances = 1; // that may be alive, never too low
+    double coldOvershoot = 1; // factor on the stated cold rate that is still borne
+};
+
+// Connections that this instance may keep to one leaf.
+auto linkLimit(const ServiceSpec *spec, const InstanceShare &share) -> std::size_t;
+
+struct PlacementQuery
+{
+    std::string_view service;
+    const ServiceSpec *spec = nullptr;
+    std::string_view ownDomain;
+    Duration usualLatency = {}; // of the route at a leaf
+    std::span<const LeafIndexNumber> tried; // not to be used again
+};
+
+struct Placement
+{
+    LeafIndexNumber leaf = {};
+    std::optional<LinkId> idleLink; // open one if absent
+    bool doubtful = false; // the leaf stands still or has failed lately
+};
+
+// The usable leaf with the least expected time; none if all are in use up to the limit, tried or
+// unusable.
+auto placeSend(LeafTable &table, const PlacementQuery &query, const InstanceShare &share,
+               RandomState &random, TimePoint now) -> std::optional<Placement>;
+
+// True if a leaf of the service may be used now or later without a change of the registry.
+auto hasUsableLeaf(LeafTable &table, std::string_view service) -> bool;
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/routetable.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+// The operators' desired state of routes: which request goes to which service, within which limits.
+
+namespace crocusreach::forward {
+
+// A service that takes a share of a route's requests.
+struct SplitPart
+{
+    std::string service;
+    double weight = 1;
+};
+
+// Exactly one of split and shards is filled.
+struct Route
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix; // begins and ends with a slash
+    bool idempotent = false;
+    Duration timeout = {}; // longest time that a request is kept waiting
+    Duration targetLatency = {}; // an answer within this time is worth most
+    std::uint32_t priority = 0; // 0 is the most urgent
+    std::uint32_t maxAttempts = 1; // leafs that one request may be sent to, for each shard
+    std::vector<SplitPart> split;
+    std::vector<std::string> shards; // a request asks one leaf of each of these services
+    std::size_t topRecords = 0; // of a merged answer
+    double minShardRatio = 1; // a merged answer with a smaller share of the shards is a failure
+};
+
+struct ServiceSpec
+{
+    std::string name;
+    std::uint32_t maxConnections = 0; // of one leaf, from all instances; 0: not stated
+    double coldRate = 0; // requests a second that a cold leaf tolerates; 0: not stated
+};
+
+// What a caller may send. Sizes in bytes.
+struct RequestLimits
+{
+    std::size_t headerBytes = 16384;
+    std::size_t bodyBytes = 262144;
+    Duration headerTime = std::chrono::seconds(3);
+    Duration idleTime = std::chrono::seconds(15);
+};
+
+struct RouteTable
+{
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<ServiceSpec> services;
+    RequestLimits limits;
+    std::unordered_map<std::string, std::vector<std::size_t>> byHost; // indexes of routes
+    std::unordered_map<std::string, std::size_t> byService; // indexes of services
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+// Builds the lookups. To be called once the lists are filled.
+auto indexRoutes(RouteTable &table) -> void;
+
+// The route with the longest prefix of the path among those of the host, which may carry a port;
+// null if there is none.
+auto findRoute(const RouteTable &table, std::string_view host, std::string_view path)
+        -> const Route *;
+
+auto findServiceSpec(const RouteTable &table, std::string_view service) -> const ServiceSpec *;
+
+} // namespace crocusreach::forward
--- a/instance/main.cpp
+++ b/instance/main.cpp
@@ -1,5 +1,7 @@
 #include "core/invariants.h"
+#include "exitcode.h"
 #include "formats/settings.h"
+#include "frontmain.h"
 #include "runtime/instance.h"
 #include "runtime/log.h"
 
@@ -19,6 +21,7 @@
 // gflags fixes the form of flag definitions.
 // NOLINTBEGIN
 DEFINE_string(settings, "", "settings file of the instance (JSON with comments)");
+DEFINE_bool(platform, false, "run as a front of the users' platform, with its settings file");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 // NOLINTEND
 
@@ -29,9 +32,12 @@
 constexpr auto helpText = R"(crocusreach - one instance of a query tier over many shards
 
 Usage: crocusreach --settings FILE [--check_settings]
+       crocusreach --platform
 
   --settings FILE    settings of the instance, JSON with comments; examples/settings.json shows
                      every key with its default
+  --platform         run as a front of the users' platform; its settings file is named by the
+                     environment, and its log goes to standard output
   --check_settings   check the settings file, print each fault on a line of its own, and exit
   --help, --version
 
@@ -51,8 +57,6 @@
     return std::any_of(arguments.begin(), arguments.end(), isHelp);
 }
 
-enum ExitCode : std::uint8_t { Success = 0, Failure = 1, BadUsage = 2, StoppedEarly = 3 };
-
 auto readSettings(const std::string &path) -> Result<Settings>
 {
     auto file = std::ifstream(path, std::ios::binary);
@@ -97,7 +101,7 @@
 
 auto run(const Settings &settings) -> int
 {
-    startLog(severityFromString(settings.logLevel));
+    startLog(severityFromString(settings.logLevel), std::clog);
     setViolationHandler(&logViolation);
     auto started = Instance::start(settings, CROCUSREACH_VERSION);
     if (failed(started)) {
@@ -130,6 +134,8 @@
         return Success;
     }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_platform && argc == 1)
+        return runFront();
     if (FLAGS_settings.empty() || argc > 1) {
         std::cerr << "usage: crocusreach --settings FILE [--check-settings]\n";
         return BadUsage;
--- /dev/null
+++ b/runtime/forwardtask.cpp
@@ -0,0 +1,31 @@
+#include "forwardtask.h"
+
+#include "clock.h"
+
+namespace crocusreach {
+
+using namespace forward;
+
+ForwardTask::ForwardTask(Reactor &reactor, const ForwarderSettings &settings, Perform perform)
+    : reactor(reactor)
+    , perform(std::move(perform))
+{
+    configure(this->forwarder, settings);
+    reactor.addTimer([this] { return nextWake(this->forwarder); },
+                     [this] { this->take(ForwarderTick()); });
+}
+
+auto ForwardTask::post(ForwardEvent &&event) -> void
+{
+    this->reactor.post([this, event = std::move(event)] { this->take(event); });
+}
+
+auto ForwardTask::take(const ForwardEvent &event) -> void
+{
+    handle(this->forwarder, event, decisionNow(), this->actions);
+    for (auto &action : this->actions)
+        this->perform(std::move(action));
+    this->actions.clear();
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/front.cpp
@@ -0,0 +1,245 @@
+#include "front.h"
+
+#include "clock.h"
+#include "log.h"
+
+#include <algorithm>
+
+namespace crocusreach {
+
+using namespace forward;
+
+namespace {
+
+constexpr auto metricsTarget = std::string_view("/metrics");
+
+auto milliseconds(Duration duration) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+auto logEnd(const CallSummary &summary) -> void
+{
+    logEvent(LogEvent::RequestEnded,
+             {{"request", summary.requestId},
+              {"end", std::string(toString(summary.end))},
+              {"route", summary.route},
+              {"version", std::to_string(summary.version)},
+              {"spent_ms", milliseconds(summary.spent)},
+              {"time_left_ms", milliseconds(summary.timeLeftAtArrival)},
+              {"late", summary.late ? "yes" : "no"},
+              {"parts", std::to_string(summary.parts)},
+              {"missing", std::to_string(summary.missing)},
+              {"sends", std::to_string(summary.sends)},
+              {"hedges", std::to_string(summary.hedges)},
+              {"retries", std::to_string(summary.retries)},
+              {"waited_for", summary.waitedFor},
+              {"leaf_age_ms", milliseconds(summary.leafAge)}});
+}
+
+auto logLeafs(const LeafsRegistered &event) -> void
+{
+    for (const auto &leaf : event.leafs) {
+        logEvent(LogEvent::LeafRegistered,
+                 {{"leaf", leaf.id},
+                  {"service", leaf.service},
+                  {"address", leaf.address},
+                  {"domain", leaf.domain},
+                  {"draining", leaf.draining ? "yes" : "no"},
+                  {"cold_ms", milliseconds(leaf.coldLeft)},
+                  {"revision", std::to_string(leaf.revision)}});
+    }
+}
+
+auto logRemoved(const LeafsRemoved &event) -> void
+{
+    for (const auto &id : event.ids)
+        logEvent(LogEvent::LeafRemoved,
+                 {{"leaf", id}, {"store_was_away", event.registryWasAway ? "yes" : "no"}});
+}
+
+auto logEvacuations(const DomainsEvacuated &event) -> void
+{
+    auto names = std::string();
+    for (const auto &domain : event.domains)
+        names.append(names.empty() ? "" : ",").append(domain);
+    logEvent(LogEvent::EvacuationsChanged, {{"domains", names}});
+}
+
+} // namespace
+
+Front::Front(const FrontSettings &settings, FrontCodec givenCodec, GMainContext *context)
+    : codec(std::move(givenCodec))
+    , reactor(context)
+    , lifecycle{settings.lifecycle, {}, false}
+    , forwarder(this->reactor, settings.forwarder,
+                [this](ForwardAction &&action) { this->perform(std::move(action)); })
+    , callers(this->reactor, this->codec,
+              [this](ForwardEvent &&event) { this->forwarder.post(std::move(event)); })
+    , leafs(this->reactor, this->codec,
+            [this](ForwardEvent &&event) { this->forwarder.post(std::move(event)); })
+    , store(this->reactor, this->codec, settings.instance,
+            [this](auto &&content) {
+                std::visit([this](auto &&item) { this->take(std::forward<decltype(item)>(item)); },
+                           std::forward<decltype(content)>(content));
+            })
+    , readyListener(this->reactor,
+                    {[this](CallerId caller, HttpMessage &&request) {
+                         this->answerAdmin(caller, request, this->readyListener);
+                     },
+                     [](CallerId) {}})
+    , adminListener(this->reactor, {[this](CallerId caller, HttpMessage &&request) {
+                                        this->answerAdmin(caller, request, this->adminListener);
+                                    },
+                                    [](CallerId) {}})
+{
+    this->reactor.addTimer(
+            [this]() -> std::optional<TimePoint> {
+                if (this->onStopped == nullptr)
+                    return {};
+                // Requests end at any time, so that the loop asks often in the last seconds.
+                constexpr auto interval = std::chrono::milliseconds(100);
+                const auto now = decisionNow();
+                const auto next = nextWake(this->lifecycle, now).value_or(now);
+                return closesIdle(this->lifecycle, now) ? std::min(next, now + interval) : next;
+            },
+            [this] { this->checkStop(); });
+}
+
+auto Front::start(const FrontSettings &settings, FrontCodec codec, GMainContext *context)
+        -> Result<std::unique_ptr<Front>>
+{
+    auto front = std::unique_ptr<Front>(new Front(settings, std::move(codec), context));
+    auto opened = front->open(settings);
+    if (failed(opened))
+        return std::get<Error>(opened);
+    logEvent(LogEvent::InstanceStarted, {{"instance", settings.instance}});
+    front->store.setAddress(settings.storeAddress);
+    return front;
+}
+
+auto Front::open(const FrontSettings &settings) -> Result<Done>
+{
+    const auto log = [](const char *name, const Result<std::string> &address) {
+        logEvent(LogEvent::ListenerOpened,
+                 {{"listener", name}, {"address", std::get<std::string>(address)}});
+    };
+    const auto caller = this->callers.open(settings.callerAddress);
+    if (failed(caller))
+        return std::get<Error>(caller);
+    log("caller", caller);
+    const auto ready = this->readyListener.open(settings.readyAddress);
+    if (failed(ready))
+        return std::get<Error>(ready);
+    log("ready", ready);
+    if (settings.adminAddress.empty())
+        return Done();
+    const auto admin = this->adminListener.open(settings.adminAddress);
+    if (failed(admin))
+        return std::get<Error>(admin);
+    log("admin", admin);
+    return Done();
+}
+
+auto Front::reload(const FrontSettings &settings) -> void
+{
+    logEvent(LogEvent::SettingsReloaded, {{"instance", settings.instance}});
+    this->lifecycle.settings = settings.lifecycle;
+    this->forwarder.post(SettingsChanged{settings.forwarder});
+    this->store.setAddress(settings.storeAddress);
+}
+
+auto Front::perform(ForwardAction &&action) -> void
+{
+    std::visit(Overloaded{[this](SendToLeaf &&send) { this->leafs.post(std::move(send)); },
+                          [this](CloseLink &&close) { this->leafs.post(close); },
+                          [this](AnswerCaller &&answer) { this->callers.post(std::move(answer)); },
+                          [this](CallEnded &&ended) {
+                              recordEnd(this->metrics, ended.summary);
+                              logEnd(ended.summary);
+                          }},
+               std::move(action));
+}
+
+auto Front::take(ForwardEvent &&event) -> void
+{
+    if (const auto *const routes = std::get_if<RoutesChanged>(&event)) {
+        if (routes->table->version > this->version) {
+            this->version = routes->table->version;
+            this->callers.post(routes->table->limits);
+            logEvent(LogEvent::RoutesInForce,
+                     {{"version", std::to_string(this->version)},
+                      {"routes", std::to_string(routes->table->routes.size())}});
+        }
+    }
+    if (const auto *const leafsRegistered = std::get_if<LeafsRegistered>(&event))
+        logLeafs(*leafsRegistered);
+    if (const auto *const removed = std::get_if<LeafsRemoved>(&event))
+        logRemoved(*removed);
+    if (const auto *const evacuated = std::get_if<DomainsEvacuated>(&event))
+        logEvacuations(*evacuated);
+    if (const auto *const counted = std::get_if<InstancesCounted>(&event))
+        logEvent(LogEvent::InstancesCounted, {{"instances", std::to_string(counted->instances)}});
+    this->forwarder.post(std::move(event));
+}
+
+auto Front::take(const StoreNotification &notification) -> void
+{
+    const auto kind = std::string(toString(notification.kind));
+    if (notification.notice == StoreNotice::Regained)
+        return logEvent(LogEvent::StoreReachable, {{"kind", kind}});
+    logEvent(LogEvent::StoreUnreachable,
+             {{"kind", kind}, {"failure", std::string(toString(*notification.failure))}});
+}
+
+auto Front::take(const ObjectRejected &rejected) -> void
+{
+    logEvent(LogEvent::StoreObjectRejected,
+             {{"object", rejected.name}, {"error", describe(rejected.error)}});
+}
+
+auto Front::ready() -> bool
+{
+    const auto known = hasRead(this->store.state()) && canServe(this->forwarder.state());
+    const auto isReadyNow = isReady(this->lifecycle, known);
+    if (isReadyNow != std::exchange(this->reportedReady, isReadyNow))
+        logEvent(LogEvent::ReadinessChanged, {{"ready", isReadyNow ? "yes" : "no"}});
+    return isReadyNow;
+}
+
+auto Front::answerAdmin(CallerId caller, const HttpMessage &request, HttpListener &listener) -> void
+{
+    const auto target = std::string_view(request.target);
+    const auto path = target.substr(0, target.find('?'));
+    if (path == this->codec.readyTarget)
+        return listener.respond(
+                caller, this->ready() ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE, {}, {});
+    if (path != metricsTarget)
+        return listener.respond(caller, HTTP_STATUS_NOT_FOUND, {}, {});
+    const auto type = HttpHeader{"Content-Type", "text/plain; version=0.0.4"};
+    listener.respond(caller, HTTP_STATUS_OK, {&type, 1},
+                     writeMetrics(this->metrics, this->forwarder.state(), this->store.callCount()));
+}
+
+auto Front::beginStop(std::function<auto(bool)->void> stopped) -> void
+{
+    logEvent(LogEvent::StopRequested);
+    requestStop(this->lifecycle, decisionNow());
+    this->callers.announceClose();
+    this->onStopped = std::move(stopped);
+}
+
+auto Front::checkStop() -> void
+{
+    const auto now = decisionNow();
+    if (closesIdle(this->lifecycle, now))
+        this->callers.closeIdle();
+    const auto open = this->callers.openRequests();
+    if (!mayExit(this->lifecycle, open, now))
+        return;
+    logEvent(open == 0 ? LogEvent::StopCompleted : LogEvent::StopDeadlinePassed,
+             {{"open_requests", std::to_string(open)}});
+    std::exchange(this->onStopped, nullptr)(open == 0);
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/front.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "callertask.h"
+#include "core/lifecycle.h"
+#include "forwardtask.h"
+#include "frontcodec.h"
+#include "frontmetrics.h"
+#include "frontsettings.h"
+#include "httplistener.h"
+#include "leaftask.h"
+#include "reactor.h"
+#include "storereadertask.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <variant>
+
+// One front: the tasks between callers, leafs and the platform's store, in one main loop.
+
+namespace crocusreach {
+
+class Front
+{
+public:
+    // Opens the listeners and starts reading the store. The codec is kept.
+    static auto start(const FrontSettings &settings, FrontCodec codec, GMainContext *context)
+            -> Result<std::unique_ptr<Front>>;
+
+    Front(const Front &) = delete;
+    auto operator=(const Front &) -> Front & = delete;
+
+    // Takes in changed settings. Listeners stay as they are.
+    auto reload(const FrontSettings &settings) -> void;
+
+    // Stops without cutting off a request. Calls the function, with whether all requests have
+    // ended, when the process may exit.
+    auto beginStop(std::function<auto(bool allEnded)->void> onStopped) -> void;
+
+private:
+    Front(const FrontSettings &settings, FrontCodec codec, GMainContext *context);
+
+    auto open(const FrontSettings &settings) -> Result<Done>;
+    auto perform(forward::ForwardAction &&action) -> void;
+    auto take(forward::ForwardEvent &&event) -> void;
+    auto take(const forward::StoreNotification &notification) -> void;
+    auto take(const forward::ObjectRejected &rejected) -> void;
+    auto answerAdmin(CallerId caller, const HttpMessage &request, HttpListener &listener) -> void;
+    auto ready() -> bool;
+    auto checkStop() -> void;
+
+    FrontCodec codec;
+    Reactor reactor;
+    forward::Lifecycle lifecycle;
+    FrontMetrics metrics;
+    std::uint64_t version = 0; // of the desired state that was logged last
+    bool reportedReady = false;
+    std::function<auto(bool)->void> onStopped;
+    ForwardTask forwarder;
+    CallerTask callers;
+    LeafTask leafs;
+    StoreReaderTask store;
+    HttpListener readyListener;
+    HttpListener adminListener;
+};
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/frontmetrics.cpp
@@ -0,0 +1,86 @@
+#include "frontmetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace crocusreach {
+
+using namespace forward;
+
+namespace {
+
+// Seconds. The target latencies of today's routes are 60 to 600 ms.
+const auto timeBuckets = prometheus::Histogram::BucketBoundaries{
+        0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.15, 0.25, 0.5, 0.6, 1, 2, 4};
+
+auto raise(prometheus::Family<prometheus::Counter> &family, const char *label,
+           std::string_view value, std::uint64_t total) -> void
+{
+    auto &counter = family.Add({{label, std::string(value)}});
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
+} // namespace
+
+FrontMetrics::FrontMetrics()
+{
+    using namespace prometheus;
+    this->requestTime = &BuildHistogram()
+                                 .Name("crocusreach_request_seconds")
+                                 .Help("Time from a request's arrival to its end, by end.")
+                                 .Register(this->registry);
+    this->events = &BuildCounter()
+                            .Name("crocusreach_forward_events_total")
+                            .Help("Requests, sends to leafs and what became of them.")
+                            .Register(this->registry);
+    this->ends = &BuildCounter()
+                          .Name("crocusreach_request_ends_total")
+                          .Help("Requests by how they ended.")
+                          .Register(this->registry);
+    this->state = &BuildGauge()
+                           .Name("crocusreach_forward_state")
+                           .Help("What the front knows and carries now.")
+                           .Register(this->registry);
+}
+
+auto recordEnd(FrontMetrics &metrics, const CallSummary &summary) -> void
+{
+    metrics.requestTime->Add({{"end", std::string(toString(summary.end))}}, timeBuckets)
+            .Observe(std::chrono::duration<double>(summary.spent).count());
+}
+
+auto writeMetrics(FrontMetrics &metrics, const Forwarder &forwarder, std::uint64_t storeCalls)
+        -> std::string
+{
+    const auto &counters = forwarder.counters;
+    const auto event = [&](const char *name, std::uint64_t total) {
+        raise(*metrics.events, "event", name, total);
+    };
+    event("request", counters.requests);
+    event("send", counters.sends);
+    event("open", counters.opens);
+    event("hedge", counters.hedges);
+    event("hedge_denied", counters.hedgesDenied);
+    event("retry", counters.retries);
+    event("retry_denied", counters.retriesDenied);
+    event("shed", counters.sheds);
+    event("misdirected", counters.misdirected);
+    event("lost", counters.lost);
+    event("invalid", counters.invalid);
+    event("not_sent", counters.notSent);
+    event("overdue", counters.overdue);
+    event("store_call", storeCalls);
+    for (std::size_t index = 0; index < counters.ends.size(); ++index)
+        raise(*metrics.ends, "end", toString(static_cast<CallEnd>(index)), counters.ends.at(index));
+    const auto gauge = [&](const char *name, std::size_t value) {
+        metrics.state->Add({{"value", name}}).Set(static_cast<double>(value));
+    };
+    gauge("version", forwarder.table == nullptr ? 0 : forwarder.table->version);
+    gauge("requests_in_progress", forwarder.calls.size());
+    gauge("requests_waiting", forwarder.waiting.size());
+    gauge("sends_in_progress", forwarder.sends.size());
+    gauge("leaf_connections", forwarder.links.size());
+    gauge("instances", forwarder.share.instances);
+    return prometheus::TextSerializer().Serialize(metrics.registry.Collect());
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/frontmetrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/forwarder.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+// The metrics of a front. All functions are called in the front's thread.
+
+namespace crocusreach {
+
+struct FrontMetrics
+{
+    FrontMetrics();
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Histogram> *requestTime = nullptr; // seconds, by end
+    prometheus::Family<prometheus::Counter> *events = nullptr;
+    prometheus::Family<prometheus::Counter> *ends = nullptr;
+    prometheus::Family<prometheus::Gauge> *state = nullptr;
+};
+
+auto recordEnd(FrontMetrics &metrics, const forward::CallSummary &summary) -> void;
+
+// The text format of Prometheus, with the forwarder's counters as of now.
+auto writeMetrics(FrontMetrics &metrics, const forward::Forwarder &forwarder,
+                  std::uint64_t storeCalls) -> std::string;
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/frontsettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/forwardmessages.h"
+#include "core/lifecycle.h"
+
+#include <string>
+
+// What a front is told at its start, and again whenever its settings change.
+
+namespace crocusreach {
+
+struct FrontSettings
+{
+    std::string instance; // name of this instance
+    std::string callerAddress; // IP:port, as are the following
+    std::string readyAddress; // where the balancer asks
+    std::string adminAddress; // metrics; empty: none
+    std::string storeAddress;
+    forward::LifecycleSettings lifecycle;
+    forward::ForwarderSettings forwarder;
+};
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/httplinks.cpp
@@ -0,0 +1,153 @@
+#include "httplinks.h"
+
+namespace crocusreach {
+
+HttpLinks::HttpLinks(Reactor &reactor, KeepAlive keepAlive, LinkEvents events)
+    : reactor(reactor)
+    , keepAlive(keepAlive)
+    , events(std::move(events))
+{ }
+
+HttpLinks::~HttpLinks()
+{
+    for (const auto &[id, link] : this->links)
+        this->reactor.forget(link->socket.get());
+}
+
+auto HttpLinks::open(const LinkSend &request) -> Link *
+{
+    auto socket = connectTcp(request.address, this->keepAlive);
+    if (failed(socket))
+        return nullptr;
+    auto link = std::make_unique<Link>();
+    link->id = request.link;
+    link->socket = std::get<FileHandle>(std::move(socket));
+    link->reader = std::make_unique<HttpReader>(HttpSide::Response, HttpReadLimits());
+    this->reactor.watch(link->socket.get(), {true, true, false},
+                        [this, id = link->id](Readiness ready) { this->onSocket(id, ready); });
+    return this->links.insert_or_assign(link->id, std::move(link)).first->second.get();
+}
+
+auto HttpLinks::send(LinkSend &&request) -> void
+{
+    const auto found = this->links.find(request.link);
+    auto *link = found == this->links.end() ? nullptr : found->second.get();
+    if (request.open)
+        link = this->open(request);
+    if (link == nullptr) {
+        // The connection has ended while the request was on its way here.
+        this->reactor.post(
+                [this, id = request.link] { this->events.failed(id, LinkFailure::NotSent); });
+        return;
+    }
+    link->busy = true;
+    link->skipped = false;
+    link->requestId = std::move(request.requestId);
+    link->reader->expectNoBody(request.headOnly);
+    link->output = std::move(request.head);
+    link->output += request.body;
+    link->written = 0;
+    if (link->connected)
+        this->write(*link);
+}
+
+auto HttpLinks::close(std::uint64_t id) -> void
+{
+    const auto found = this->links.find(id);
+    if (found == this->links.end())
+        return;
+    this->reactor.forget(found->second->socket.get());
+    this->links.erase(found);
+}
+
+auto HttpLinks::fail(Link &link, LinkFailure failure) -> void
+{
+    const auto id = link.id;
+    const auto busy = link.busy;
+    const auto sent = link.written > 0;
+    this->close(id);
+    if (!busy)
+        this->events.closed(id);
+    else
+        this->events.failed(id, sent ? failure : LinkFailure::NotSent);
+}
+
+auto HttpLinks::onSocket(std::uint64_t id, Readiness readiness) -> void
+{
+    auto &link = *this->links.at(id);
+    if (!link.connected) {
+        if (!socketError(link.socket.get()).empty() || (readiness.broken && !readiness.writable))
+            return this->fail(link, LinkFailure::NotSent);
+        if (!readiness.writable)
+            return;
+        link.connected = true;
+    }
+    if (readiness.readable || readiness.broken) {
+        this->read(link);
+        if (!this->links.contains(id))
+            return;
+    }
+    if (readiness.writable)
+        this->write(link);
+}
+
+auto HttpLinks::write(Link &link) -> void
+{
+    const auto status = writeSome(link.socket.get(), link.output, link.written);
+    if (status == IoStatus::Broken && link.written == 0)
+        return this->fail(link, LinkFailure::NotSent);
+    if (status == IoStatus::Broken) {
+        // A response may have come before the connection broke; reading finds that out.
+        link.written = link.output.size();
+        return this->read(link);
+    }
+    this->reactor.change(link.socket.get(), {true, status != IoStatus::Ok, false});
+}
+
+auto HttpLinks::read(Link &link) -> void
+{
+    auto bytes = std::string();
+    const auto status = readSome(link.socket.get(), bytes);
+    if (status == IoStatus::WouldBlock)
+        return;
+    if (!link.busy)
+        return this->fail(link, LinkFailure::Lost);
+    if (status == IoStatus::Ok)
+        return this->takeResponses(link, bytes);
+    // A response without a length ends with its connection, if that ends in order.
+    if (status == IoStatus::Ended)
+        link.reader->feedEnd();
+    auto response = link.reader->take();
+    if (!response || !this->events.belongs(*response, link.requestId))
+        return this->fail(link, LinkFailure::Lost);
+    const auto id = link.id;
+    this->close(id);
+    this->events.answered(id, std::move(*response), false);
+}
+
+auto HttpLinks::takeResponses(Link &link, std::string_view bytes) -> void
+{
+    while (!bytes.empty()) {
+        bytes.remove_prefix(link.reader->feed(bytes));
+        auto response = link.reader->take();
+        if (!response && link.reader->fault() != HttpFault::None)
+            return this->fail(link, LinkFailure::Invalid);
+        if (!response)
+            return;
+        if (!this->events.belongs(*response, link.requestId)) {
+            link.skipped = true;
+            continue;
+        }
+        // Bytes after the response, or a request that isn't out whole, would mix with what follows.
+        const auto usable = bytes.empty() && response->keepAlive && !link.skipped
+                            && link.written == link.output.size();
+        const auto id = link.id;
+        link.busy = false;
+        if (!usable)
+            this->close(id);
+        this->events.answered(id, std::move(*response), usable);
+        return;
+    }
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/httplinks.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "core/types.h"
+#include "httpmessage.h"
+#include "reactor.h"
+#include "tcpsocket.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+// The task that owns connections to HTTP servers. Its user numbers the connections and decides what
+// is sent on which; nothing is ever sent twice.
+
+namespace crocusreach {
+
+// One request on one connection.
+struct LinkSend
+{
+    std::uint64_t link = 0;
+    bool open = false; // the connection is to be opened
+    std::string address; // IP:port, of a connection to open
+    std::string head; // of the request, with the empty line
+    std::string body;
+    std::string requestId; // that the response echoes; empty: any response is the one
+    bool headOnly = false; // the response has no body whatever it says
+};
+
+enum class LinkFailure : std::uint8_t {
+    NotSent, // no byte of the request has left
+    Lost, // the connection ended
+    Invalid, // what came isn't a whole response
+};
+
+// All are called in the reactor's thread. A send is followed by one of answered and failed, unless
+// its link is closed by the user.
+struct LinkEvents
+{
+    std::function<auto(std::uint64_t link, HttpMessage &&response, bool usable)->void> answered;
+    std::function<auto(std::uint64_t link, LinkFailure failure)->void> failed; // and closed
+    std::function<auto(std::uint64_t link)->void> closed; // while idle
+    // Whether a response belongs to the request with this id.
+    std::function<auto(const HttpMessage &response, std::string_view requestId)->bool> belongs;
+};
+
+class HttpLinks
+{
+public:
+    HttpLinks(Reactor &reactor, KeepAlive keepAlive, LinkEvents events);
+    HttpLinks(const HttpLinks &) = delete;
+    auto operator=(const HttpLinks &) -> HttpLinks & = delete;
+    ~HttpLinks();
+
+    auto send(LinkSend &&request) -> void;
+    auto close(std::uint64_t link) -> void;
+
+private:
+    struct Link
+    {
+        std::uint64_t id = 0;
+        FileHandle socket;
+        std::unique_ptr<HttpReader> reader;
+        std::string output;
+        std::size_t written = 0;
+        std::string requestId;
+        bool busy = false;
+        bool connected = false;
+        bool skipped = false; // a response to another request came before
+    };
+
+    auto open(const LinkSend &request) -> Link *;
+    auto onSocket(std::uint64_t id, Readiness readiness) -> void;
+    auto write(Link &link) -> void;
+    auto read(Link &link) -> void;
+    auto takeResponses(Link &link, std::string_view bytes) -> void;
+    auto fail(Link &link, LinkFailure failure) -> void;
+
+    Reactor &reactor;
+    KeepAlive keepAlive;
+    LinkEvents events;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Link>> links;
+};
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/httplistener.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/types.h"
+#include "httpmessage.h"
+#include "reactor.h"
+#include "tcpsocket.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+// The task that owns a listening socket and the connections of its callers.
+
+namespace crocusreach {
+
+// A connection of a caller; unique in the life of the process.
+enum class CallerId : std::uint64_t {};
+
+struct HttpListenerLimits
+{
+    HttpReadLimits message;
+    Duration headerTime = std::chrono::seconds(3); // from the first byte of a request to its body
+    Duration idleTime = std::chrono::seconds(15); // between requests
+};
+
+// Both are called in the reactor's thread. A request is followed by one respond(), or by
+// callerLeft if the caller closes the connection before.
+struct HttpListenerEvents
+{
+    std::function<auto(CallerId, HttpMessage &&)->void> requestArrived;
+    std::function<auto(CallerId)->void> callerLeft;
+};
+
+// A connection carries one request at a time; further ones wait in its buffer.
+class HttpListener
+{
+public:
+    HttpListener(Reactor &reactor, HttpListenerEvents events);
+    HttpListener(const HttpListener &) = delete;
+    auto operator=(const HttpListener &) -> HttpListener & = delete;
+    ~HttpListener();
+
+    // Returns the address that the listener really has.
+    auto open(std::string_view address) -> Result<std::string>;
+    auto setLimits(const HttpListenerLimits &newLimits) -> void;
+    // From now on, answers announce the end of their connection.
+    auto announceClose() -> void { this->closing = true; }
+    auto closeIdle() -> void;
+
+    // Ignored if the caller has left meanwhile.
+    auto respond(CallerId caller, std::uint32_t status, std::span<const HttpHeader> headers,
+                 std::string_view body) -> void;
+
+    // Requests that were read, or are being read or answered.
+    auto openRequests() const -> std::size_t;
+
+private:
+    enum class Phase : std::uint8_t { Reading, Answering, Closing };
+
+    struct Connection
+    {
+        Connection(CallerId id, FileHandle &&socket, HttpReadLimits limits)
+            : id(id)
+            , socket(std::move(socket))
+            , reader(HttpSide::Request, limits)
+        { }
+
+        CallerId id = {};
+        FileHandle socket;
+        HttpReader reader;
+        Phase phase = Phase::Reading;
+        std::string input; // not yet read by the parser
+        std::string output;
+        std::size_t written = 0;
+        bool closeAfterWrite = false;
+        bool noBody = false; // the request was a HEAD
+        bool invited = false; // the caller was told to send its body
+        TimePoint since = {}; // start of the request, of the idle time or of the closing
+    };
+
+    auto acceptAll() -> void;
+    auto onSocket(CallerId id, Readiness readiness) -> void;
+    auto readInput(Connection &connection) -> bool;
+    auto parseInput(Connection &connection) -> void;
+    auto invite(Connection &connection) -> void;
+    auto refuse(Connection &connection) -> void;
+    auto write(Connection &connection) -> bool;
+    auto drop(CallerId id) -> void;
+    auto checkTimes() -> void;
+    auto updateWanted(Connection &connection) -> void;
+
+    Reactor &reactor;
+    HttpListenerEvents events;
+    HttpListenerLimits limits;
+    FileHandle listener;
+    std::unordered_map<CallerId, std::unique_ptr<Connection>> connections;
+    std::uint64_t lastId = 0;
+    bool closing = false;
+    std::optional<TimePoint> nextCheck;
+};
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/httpmessage.cpp
@@ -0,0 +1,215 @@
+#include "httpmessage.h"
+
+#include <algorithm>
+#include <charconv>
+#include <climits>
+#include <utility>
+
+namespace crocusreach {
+
+namespace {
+
+auto lower(char character) -> char
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character + ('a' - 'A'))
+                                                : character;
+}
+
+auto appendHeaders(std::string &text, std::span<const HttpHeader> headers) -> void
+{
+    for (const auto &header : headers)
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+}
+
+} // namespace
+
+auto sameHeaderName(std::string_view left, std::string_view right) -> bool
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char a, char b) { return lower(a) == lower(b); });
+}
+
+auto findHeader(const HttpMessage &message, std::string_view name)
+        -> std::optional<std::string_view>
+{
+    for (const auto &header : message.headers) {
+        if (sameHeaderName(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+auto idleLimitOf(const HttpMessage &message) -> Duration
+{
+    constexpr auto key = std::string_view("timeout=");
+    const auto value = findHeader(message, "Keep-Alive");
+    const auto start = value ? value->find(key) : std::string_view::npos;
+    if (start == std::string_view::npos)
+        return {};
+    const auto text = value->substr(start + key.size());
+    auto seconds = std::int64_t(0);
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return std::chrono::seconds(std::clamp<std::int64_t>(seconds, 0, 3600));
+}
+
+HttpReader::HttpReader(HttpSide side, HttpReadLimits limits)
+    : side(side)
+    , limits(limits)
+{
+    http_parser_init(&this->parser, side == HttpSide::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser.data = this;
+}
+
+auto HttpReader::self(http_parser *parser) -> HttpReader &
+{
+    return *static_cast<HttpReader *>(parser->data);
+}
+
+auto HttpReader::addHeaderText(std::string_view text, bool isValue) -> int
+{
+    this->headerSize += text.size();
+    if (this->headerSize > this->limits.headerBytes) {
+        this->currentFault = HttpFault::HeaderTooLarge;
+        return 1;
+    }
+    if (!isValue && this->lastWasValue)
+        this->message.headers.emplace_back();
+    this->lastWasValue = isValue;
+    auto &header = this->message.headers.back();
+    (isValue ? header.value : header.name).append(text);
+    return 0;
+}
+
+auto HttpReader::completeHeaders() -> int
+{
+    this->headersComplete = true;
+    this->message.status = this->parser.status_code;
+    if (this->side == HttpSide::Request)
+        this->message.method = http_method_str(static_cast<http_method>(this->parser.method));
+    const auto length = this->parser.content_length;
+    if (length != ULLONG_MAX && length > this->limits.bodyBytes) {
+        this->currentFault = HttpFault::BodyTooLarge;
+        return -1;
+    }
+    return this->noBody ? 1 : 0;
+}
+
+auto HttpReader::settings() -> const http_parser_settings &
+{
+    static const auto made = [] {
+        auto callbacks = http_parser_settings();
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_begin = [](http_parser *parser) {
+            auto &reader = self(parser);
+            reader.message = {};
+            reader.inMessage = true;
+            reader.headersComplete = false;
+            reader.lastWasValue = true;
+            reader.headerSize = 0;
+            return 0;
+        };
+        callbacks.on_url = [](http_parser *parser, const char *at, std::size_t length) {
+            auto &reader = self(parser);
+            reader.message.target.append(at, length);
+            reader.headerSize += length;
+            return 0;
+        };
+        callbacks.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+            return self(parser).addHeaderText({at, length}, false);
+        };
+        callbacks.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+            return self(parser).addHeaderText({at, length}, true);
+        };
+        callbacks.on_headers_complete
+                = [](http_parser *parser) { return self(parser).completeHeaders(); };
+        callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+            auto &reader = self(parser);
+            if (reader.message.body.size() + length > reader.limits.bodyBytes) {
+                reader.currentFault = HttpFault::BodyTooLarge;
+                return 1;
+            }
+            reader.message.body.append(at, length);
+            return 0;
+        };
+        callbacks.on_message_complete = [](http_parser *parser) {
+            auto &reader = self(parser);
+            reader.message.keepAlive = http_should_keep_alive(parser) != 0;
+            reader.inMessage = false;
+            // Interim responses announce the real one.
+            const auto interim = reader.side == HttpSide::Response && parser->status_code >= 100
+                                 && parser->status_code < 200;
+            reader.complete = !interim;
+            if (reader.complete)
+                http_parser_pause(parser, 1);
+            return 0;
+        };
+        return callbacks;
+    }();
+    return made;
+}
+
+auto HttpReader::feed(std::string_view bytes) -> std::size_t
+{
+    if (this->complete || this->currentFault != HttpFault::None)
+        return 0;
+    const auto taken
+            = http_parser_execute(&this->parser, &settings(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&this->parser);
+    if (this->complete) {
+        http_parser_pause(&this->parser, 0);
+        // The parser stops at the last byte of a message, or before it reads on.
+        return taken;
+    }
+    if (this->parser.upgrade != 0 || (error != HPE_OK && error != HPE_PAUSED)) {
+        if (this->currentFault == HttpFault::None)
+            this->currentFault = error == HPE_HEADER_OVERFLOW ? HttpFault::HeaderTooLarge
+                                                              : HttpFault::Malformed;
+    }
+    return taken;
+}
+
+auto HttpReader::feedEnd() -> void
+{
+    if (this->complete || this->currentFault != HttpFault::None)
+        return;
+    http_parser_execute(&this->parser, &settings(), nullptr, 0);
+    if (this->complete)
+        http_parser_pause(&this->parser, 0);
+}
+
+auto HttpReader::take() -> std::optional<HttpMessage>
+{
+    if (!std::exchange(this->complete, false))
+        return {};
+    return std::exchange(this->message, {});
+}
+
+auto writeRequestHead(std::string_view method, std::string_view target,
+                      std::span<const HttpHeader> headers, std::size_t bodySize) -> std::string
+{
+    auto text = std::string();
+    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+    appendHeaders(text, headers);
+    const auto mayHaveBody = method != "GET" && method != "HEAD";
+    if (bodySize != 0 || mayHaveBody)
+        text.append("Content-Length: ").append(std::to_string(bodySize)).append("\r\n");
+    text.append("\r\n");
+    return text;
+}
+
+auto writeResponse(std::uint32_t status, std::span<const HttpHeader> headers, std::string_view body,
+                   bool close) -> std::string
+{
+    auto text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text.append(http_status_str(static_cast<http_status>(status))).append("\r\n");
+    appendHeaders(text, headers);
+    if (close)
+        text.append("Connection: close\r\n");
+    const auto bodiless = status == 204 || status == 304;
+    if (!bodiless)
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    text.append("\r\n").append(body);
+    return text;
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/leaftask.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "frontcodec.h"
+#include "httplinks.h"
+#include "reactor.h"
+
+#include <functional>
+#include <unordered_map>
+
+// The task that owns the connections to leafs.
+
+namespace crocusreach {
+
+class LeafTask
+{
+public:
+    using Outlet = std::function<auto(forward::ForwardEvent &&)->void>;
+
+    LeafTask(Reactor &reactor, const FrontCodec &codec, Outlet outlet);
+
+    auto post(forward::SendToLeaf &&send) -> void;
+    auto post(const forward::CloseLink &close) -> void;
+
+private:
+    auto onAnswered(std::uint64_t link, HttpMessage &&response, bool usable) -> void;
+    auto onFailed(std::uint64_t link, LinkFailure failure) -> void;
+    auto takeSend(std::uint64_t link) -> SendId;
+
+    Reactor &reactor;
+    const FrontCodec &codec;
+    Outlet outlet;
+    std::unordered_map<std::uint64_t, SendId> sends; // by link
+    HttpLinks links;
+};
+
+} // namespace crocusreach
--- a/runtime/log.cpp
+++ b/runtime/log.cpp
@@ -16,7 +16,7 @@
 #include <array>
 #include <atomic>
 #include <ctime>
-#include <iostream>
+#include <ostream>
 
 namespace crocusreach {
 
@@ -41,6 +41,12 @@
         {LogEvent::StopDeadlinePassed, "stop_deadline_passed", Severity::Error,
          "the instance ends before all work has ended"},
         {LogEvent::StartFailed, "start_failed", Severity::Error, "the instance could not start"},
+        {LogEvent::ReadinessChanged, "readiness_changed", Severity::Info,
+         "what the balancer is told has changed"},
+        {LogEvent::SettingsReloaded, "settings_reloaded", Severity::Info,
+         "changed settings are in force"},
+        {LogEvent::SettingsInvalid, "settings_invalid", Severity::Error,
+         "changed settings can't be used; the former ones stay in force"},
         {LogEvent::ConfigurationInForce, "configuration_in_force", Severity::Info,
          "a newer configuration is in force"},
         {LogEvent::AssignmentInForce, "assignment_in_force", Severity::Info,
@@ -53,6 +59,18 @@
          "the platform's store answers again"},
         {LogEvent::LeaseWithoutEvidence, "lease_without_evidence", Severity::Warning,
          "the share lease has ended; no share is used until it is renewed"},
+        {LogEvent::RoutesInForce, "routes_in_force", Severity::Info,
+         "a newer desired state of routes is in force"},
+        {LogEvent::StoreObjectRejected, "store_object_rejected", Severity::Warning,
+         "an object of the store can't be used and counts as absent"},
+        {LogEvent::LeafRegistered, "leaf_registered", Severity::Info,
+         "a leaf's entry is new or has changed"},
+        {LogEvent::LeafRemoved, "leaf_removed", Severity::Info,
+         "a leaf's entry has left the store; the leaf gets nothing after the drain time"},
+        {LogEvent::EvacuationsChanged, "evacuations_changed", Severity::Info,
+         "the failure domains that get nothing, in full"},
+        {LogEvent::InstancesCounted, "instances_counted", Severity::Info,
+         "the number of instances that share the limits"},
         {LogEvent::PeerLinkOpened, "peer_link_opened", Severity::Info,
          "the stream to a peer is open"},
         {LogEvent::PeerLinkLost, "peer_link_lost", Severity::Warning,
@@ -61,6 +79,8 @@
          "heartbeats on a stream went unanswered; it is closed and opened again"},
         {LogEvent::PeerMessageInvalid, "peer_message_invalid", Severity::Error,
          "a message of a peer can't be read and was dropped"},
+        {LogEvent::RequestEnded, "request_ended", Severity::Info,
+         "a caller's request was answered, or its caller has left"},
         {LogEvent::InvariantViolated, "invariant_violated", Severity::Error,
          "a guaranteed property was violated"},
 });
@@ -168,11 +188,11 @@
     return line;
 }
 
-auto startLog(Severity least) -> void
+auto startLog(Severity least, std::ostream &stream) -> void
 {
     leastSeverity = least;
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
     backend->auto_flush(true);
     activeSink = boost::make_shared<Sink>(backend);
     boost::log::core::get()->add_sink(activeSink);
@@ -193,8 +213,9 @@
     if (activeSink == nullptr || infoOf(event).severity < leastSeverity.load())
         return;
     auto logger = boost::log::sources::logger();
-    BOOST_LOG(logger) << "time=" << timeText() << ' '
-                      << formatLogLine(event, {fields.begin(), fields.size()});
+    const auto line
+            = "time=" + timeText() + " " + formatLogLine(event, {fields.begin(), fields.size()});
+    BOOST_LOG(logger) << line;
 }
 
 } // namespace crocusreach
--- a/runtime/log.h
+++ b/runtime/log.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <iosfwd>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,16 +24,26 @@
     StopCompleted = 104,
     StopDeadlinePassed = 105,
     StartFailed = 106,
+    ReadinessChanged = 107,
+    SettingsReloaded = 108,
+    SettingsInvalid = 109,
     ConfigurationInForce = 200,
     AssignmentInForce = 201,
     SharesChanged = 202,
     StoreUnreachable = 203,
     StoreReachable = 204,
     LeaseWithoutEvidence = 205,
+    RoutesInForce = 206,
+    StoreObjectRejected = 207,
+    LeafRegistered = 208,
+    LeafRemoved = 209,
+    EvacuationsChanged = 210,
+    InstancesCounted = 211,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
     PeerMessageInvalid = 303,
+    RequestEnded = 400,
     InvariantViolated = 900,
 };
 
@@ -61,9 +72,9 @@
 // other than letters, digits and "-_.:/,+" are quoted; control characters are escaped.
 auto formatLogLine(LogEvent event, std::span<const LogField> fields) -> std::string;
 
-// Starts a thread that writes lines to standard error. A full queue drops lines instead of holding
-// up the tasks. To be called once.
-auto startLog(Severity least) -> void;
+// Starts a thread that writes lines to the stream, which must outlive the log. A full queue drops
+// lines instead of holding up the tasks. To be called once.
+auto startLog(Severity least, std::ostream &stream) -> void;
 // Writes what is queued and ends the thread.
 auto stopLog() -> void;
 
--- /dev/null
+++ b/runtime/reactor.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "core/types.h"
+#include "mailbox.h"
+
+#include <glib.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+// One main loop for several tasks: their sockets, their wake times and their messages. A message
+// between tasks of one loop is an entry in a queue, so that it costs no wake-up of a thread.
+
+namespace crocusreach {
+
+// Owns a file descriptor.
+class FileHandle
+{
+public:
+    FileHandle() = default;
+    explicit FileHandle(int descriptor)
+        : descriptor(descriptor)
+    { }
+    FileHandle(FileHandle &&other) noexcept
+        : descriptor(std::exchange(other.descriptor, -1))
+    { }
+    auto operator=(FileHandle &&other) noexcept -> FileHandle &
+    {
+        std::swap(this->descriptor, other.descriptor);
+        return *this;
+    }
+    FileHandle(const FileHandle &) = delete;
+    auto operator=(const FileHandle &) -> FileHandle & = delete;
+    ~FileHandle();
+
+    auto get() const -> int { return this->descriptor; }
+    auto isOpen() const -> bool { return this->descriptor >= 0; }
+
+private:
+    int descriptor = -1;
+};
+
+// What a socket waits for or has met.
+struct Readiness
+{
+    bool readable = false;
+    bool writable = false;
+    bool broken = false; // reported whether waited for or not
+};
+
+// Tasks register with a reactor and run in its thread only.
+class Reactor
+{
+public:
+    using SocketHandler = std::function<auto(Readiness)->void>;
+    // Returns the time of the next call, if any.
+    using WakeTime = std::function<auto()->std::optional<TimePoint>>;
+
+    // Runs in the given context.
+    explicit Reactor(GMainContext *context);
+    Reactor(const Reactor &) = delete;
+    auto operator=(const Reactor &) -> Reactor & = delete;
+    ~Reactor();
+
+    // Watches a socket until forget() is called. The descriptor must stay open until then.
+    auto watch(int descriptor, Readiness wanted, SocketHandler handler) -> void;
+    auto change(int descriptor, Readiness wanted) -> void;
+    auto forget(int descriptor) -> void;
+
+    // Runs a function in a later turn of the loop's queue, in order.
+    auto post(std::function<auto()->void> message) -> void;
+
+    // Calls onWake whenever the wake time has come. The time is asked for before each wait.
+    auto addTimer(WakeTime wakeTime, std::function<auto()->void> onWake) -> void;
+
+private:
+    struct Watch
+    {
+        int descriptor = -1;
+        Readiness wanted;
+        SocketHandler handler;
+        bool forgotten = false;
+    };
+    struct Timer
+    {
+        WakeTime wakeTime;
+        std::function<auto()->void> onWake;
+    };
+    struct Source; // GSource with a pointer to the reactor
+
+    auto waitTime() const -> gint;
+    auto dispatch() -> void;
+    auto dispatchSockets() -> void;
+    auto dispatchTimers() -> void;
+    auto drain() -> void;
+
+    static auto prepare(GSource *source, gint *timeout) -> gboolean;
+    static auto check(GSource *source) -> gboolean;
+    static auto dispatchSource(GSource *source, GSourceFunc callback, gpointer data) -> gboolean;
+
+    FileHandle epoll;
+    std::unordered_map<int, std::unique_ptr<Watch>> watches;
+    std::vector<std::unique_ptr<Watch>> forgotten; // freed once no event can refer to them
+    std::vector<Timer> timers;
+    std::vector<std::function<auto()->void>> queue;
+    SourceHandle source;
+};
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/tcpsocket.cpp
@@ -0,0 +1,161 @@
+#include "tcpsocket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <optional>
+
+namespace crocusreach {
+
+namespace {
+
+constexpr std::size_t readSize = 64 * 1024;
+// Connections that wait to be accepted. After a restart many callers connect at once.
+constexpr int backlog = 512;
+constexpr int probeSeconds = 1;
+constexpr int unansweredProbes = 2;
+
+auto parseAddress(std::string_view text) -> std::optional<sockaddr_in>
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return {};
+    auto port = std::uint16_t(0);
+    const auto digits = text.substr(colon + 1);
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    auto address = sockaddr_in();
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    const auto host = std::string(text.substr(0, colon));
+    const auto valid = parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size()
+                       && inet_pton(AF_INET, host.c_str(), &address.sin_addr) == 1;
+    return valid ? std::optional(address) : std::nullopt;
+}
+
+auto setOption(int descriptor, int level, int option, int value) -> void
+{
+    ::setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+auto failure(std::string_view address, Step step, std::string_view what) -> Error
+{
+    return {step, std::string(address), std::string(what) + ": " + std::strerror(errno)};
+}
+
+auto openSocket() -> FileHandle
+{
+    return FileHandle(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+}
+
+auto applyKeepAlive(int descriptor, const KeepAlive &keepAlive) -> void
+{
+    if (keepAlive.silence > Duration()) {
+        const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(keepAlive.silence);
+        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(time.count()));
+    }
+    if (keepAlive.probeIdle) {
+        setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
+        setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
+        setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, unansweredProbes);
+    }
+}
+
+auto statusOfError() -> IoStatus
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoStatus::WouldBlock
+                                                                     : IoStatus::Broken;
+}
+
+} // namespace
+
+auto listenTcp(std::string_view address) -> Result<FileHandle>
+{
+    const auto parsed = parseAddress(address);
+    if (!parsed)
+        return Error{Step::Accept, std::string(address), "is not an IP:port"};
+    auto socket = openSocket();
+    setOption(socket.get(), SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(socket.get(), reinterpret_cast<const sockaddr *>(&*parsed), sizeof(*parsed)) != 0
+        || ::listen(socket.get(), backlog) != 0)
+        return failure(address, Step::Accept, "can't listen");
+    return socket;
+}
+
+auto localAddress(int descriptor) -> std::string
+{
+    auto address = sockaddr_in();
+    auto size = socklen_t(sizeof(address));
+    if (::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) != 0)
+        return {};
+    auto text = std::array<char, INET_ADDRSTRLEN>();
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return std::string(text.data()) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+auto acceptTcp(int listener) -> FileHandle
+{
+    auto accepted
+            = FileHandle(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (accepted.isOpen())
+        setOption(accepted.get(), IPPROTO_TCP, TCP_NODELAY, 1);
+    return accepted;
+}
+
+auto connectTcp(std::string_view address, const KeepAlive &keepAlive) -> Result<FileHandle>
+{
+    const auto parsed = parseAddress(address);
+    if (!parsed)
+        return Error{Step::Connect, std::string(address), "is not an IP:port"};
+    auto socket = openSocket();
+    if (!socket.isOpen())
+        return failure(address, Step::Connect, "can't open a socket");
+    setOption(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1);
+    applyKeepAlive(socket.get(), keepAlive);
+    const auto result = ::connect(socket.get(), reinterpret_cast<const sockaddr *>(&*parsed),
+                                  sizeof(*parsed));
+    if (result != 0 && errno != EINPROGRESS)
+        return failure(address, Step::Connect, "can't connect");
+    return socket;
+}
+
+auto socketError(int descriptor) -> std::string
+{
+    auto error = 0;
+    auto size = socklen_t(sizeof(error));
+    if (::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+        error = errno;
+    return error == 0 ? std::string() : std::string(std::strerror(error));
+}
+
+auto readSome(int descriptor, std::string &buffer) -> IoStatus
+{
+    static thread_local auto space = std::array<char, readSize>();
+    const auto count = ::recv(descriptor, space.data(), space.size(), 0);
+    if (count < 0)
+        return statusOfError();
+    if (count == 0)
+        return IoStatus::Ended;
+    buffer.append(space.data(), static_cast<std::size_t>(count));
+    return IoStatus::Ok;
+}
+
+auto writeSome(int descriptor, std::string_view bytes, std::size_t &position) -> IoStatus
+{
+    while (position < bytes.size()) {
+        const auto count = ::send(descriptor, bytes.data() + position, bytes.size() - position,
+                                  MSG_NOSIGNAL);
+        if (count < 0)
+            return statusOfError();
+        position += static_cast<std::size_t>(count);
+    }
+    return IoStatus::Ok;
+}
+
+} // namespace crocusreach
--- /dev/null
+++ b/runtime/tcpsocket.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/types.h"
+#include "reactor.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+// Non-blocking TCP sockets over IPv4.
+
+namespace crocusreach {
+
+struct KeepAlive
+{
+    // A peer that acknowledges nothing for this time is given up; 0: never.
+    Duration silence = {};
+    // Probes are sent on an idle connection.
+    bool probeIdle = false;
+};
+
+// Listens on IP:port. Port 0 lets the kernel choose.
+auto listenTcp(std::string_view address) -> Result<FileHandle>;
+
+// The IP:port that a socket is bound to.
+auto localAddress(int descriptor) -> std::string;
+
+// A connection that waits at a listener; closed if there is none.
+auto acceptTcp(int listener) -> FileHandle;
+
+// Starts a connection to IP:port. The socket turns writable once it is established.
+auto connectTcp(std::string_view address, const KeepAlive &keepAlive) -> Result<FileHandle>;
+
+// The pending error of a socket as text; empty if there is none.
+auto socketError(int descriptor) -> std::string;
+
+enum class IoStatus : std::uint8_t { Ok, WouldBlock, Ended, Broken };
+
+// Appends what is there to the buffer, up to a bound per call.
+auto readSome(int descriptor, std::string &buffer) -> IoStatus;
+
+// Writes from the position on and moves it.
+auto writeSome(int descriptor, std::string_view bytes, std::size_t &position) -> IoStatus;
+
+} // namespace crocusreach
