Number calls apart from their connections

Cause: a call had the number of its connection.

Ruled out: answers mixed on a leaf's connection; the echoed ids matched.

--- a/runtime/callertask.cpp
+++ b/runtime/callertask.cpp
@@ -14,9 +14,7 @@
                {[this](CallerId caller, HttpMessage &&message) {
                     this->onRequest(caller, std::move(message));
                 },
-                [this](CallerId caller) {
-                    this->outlet(CallerLeft{CallId(static_cast<std::uint64_t>(caller))});
-                }})
+                [this](CallerId caller) { this->onLeft(caller); }})
 { }
 
 auto CallerTask::open(std::string_view address) -> Result<std::string>
@@ -24,7 +22,6 @@
     return this->listener.open(address);
 }
 
-// A connection carries one request at a time, so that its number serves as that of the call.
 auto CallerTask::onRequest(CallerId caller, HttpMessage &&message) -> void
 {
     auto request = this->codec.readRequest(std::move(message));
@@ -32,15 +29,33 @@
         this->listener.respond(caller, refusal->status, refusal->headers, refusal->body);
         return;
     }
+    const auto call = CallId(++this->lastCall);
+    this->calls.insert_or_assign(caller, call);
+    this->callers.emplace(call, caller);
     this->outlet(RequestArrived{
-            CallId(static_cast<std::uint64_t>(caller)),
+            call,
             std::make_shared<const ForwardRequest>(std::get<ForwardRequest>(std::move(request)))});
 }
 
+auto CallerTask::onLeft(CallerId caller) -> void
+{
+    const auto found = this->calls.find(caller);
+    if (found == this->calls.end())
+        return;
+    this->outlet(CallerLeft{found->second});
+    this->callers.erase(found->second);
+    this->calls.erase(found);
+}
+
 auto CallerTask::post(AnswerCaller &&answer) -> void
 {
     this->reactor.post([this, answer = std::move(answer)]() mutable {
-        const auto caller = CallerId(static_cast<std::uint64_t>(answer.call));
+        const auto found = this->callers.find(answer.call);
+        if (found == this->callers.end())
+            return;
+        const auto caller = found->second;
+        this->callers.erase(found);
+        this->calls.erase(caller);
         const auto response = this->codec.writeAnswer(std::move(answer.answer));
         this->listener.respond(caller, response.status, response.headers, response.body);
     });
--- a/runtime/callertask.h
+++ b/runtime/callertask.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 // The task that owns the callers' connections: it turns their requests into the forwarder's events
 // and the forwarder's answers into responses.
@@ -30,10 +31,16 @@
 
 private:
     auto onRequest(CallerId caller, HttpMessage &&message) -> void;
+    auto onLeft(CallerId caller) -> void;
 
     Reactor &reactor;
     const FrontCodec &codec;
     Outlet outlet;
+    // A connection carries one request after the other; each is a call with a number of its own,
+    // since sends of an answered call may still run when the next request arrives.
+    std::unordered_map<CallerId, forward::CallId> calls;
+    std::unordered_map<forward::CallId, CallerId> callers;
+    std::uint64_t lastCall = 0;
     HttpListener listener;
 };
 
