End a stopping front as soon as no request is open

Change: the time of the next check is kept, and new requests are refused as not run shortly before the end, which a balancer with too few other instances sends.

--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -171,6 +171,8 @@
           std::vector<ForwardAction> &actions) -> void
 {
     ++forwarder.counters.requests;
+    if (forwarder.refusesNew)
+        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::Stopping, actions);
     if (forwarder.table == nullptr)
         return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
     const auto *route = findRoute(*forwarder.table, event.request->host, event.request->target);
@@ -426,6 +428,12 @@
     forwarder.instancesKnown = true;
 }
 
+auto take(Forwarder &forwarder, const NewRequestsRefused & /*event*/, TimePoint /*now*/,
+          std::vector<ForwardAction> & /*actions*/) -> void
+{
+    forwarder.refusesNew = true;
+}
+
 auto take(Forwarder &forwarder, const SettingsChanged &event, TimePoint /*now*/,
           std::vector<ForwardAction> & /*actions*/) -> void
 {
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -58,6 +58,7 @@
     LeafTable leafs;
     InstanceShare share;
     bool instancesKnown = false;
+    bool refusesNew = false;
     RandomState random;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<SendId, Send> sends;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -144,12 +144,17 @@
     ForwarderSettings settings;
 };
 
+// The instance is about to end: requests that arrive from now on are refused.
+struct NewRequestsRefused
+{ };
+
 struct ForwarderTick
 { };
 
 using ForwardEvent = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, LinkClosed,
                                   RoutesChanged, LeafsRegistered, LeafsRemoved, DomainsEvacuated,
-                                  InstancesCounted, SettingsChanged, ForwarderTick>;
+                                  InstancesCounted, SettingsChanged,
+                                  NewRequestsRefused, ForwarderTick>;
 
 // Actions.
 
@@ -212,6 +217,7 @@
     MayHaveRun,
     TimedOut,
     CallerLeft,
+    Stopping,
     Count
 };
 
--- a/core/lifecycle.cpp
+++ b/core/lifecycle.cpp
@@ -10,6 +10,8 @@
 // The balancer asks each second whether an instance is ready and takes it out after two misses.
 // A connection that it has opened by then still brings a request a little later.
 constexpr Duration balancerTime = std::chrono::milliseconds(3300);
+// Time after that in which the instance ends as soon as no request is open.
+constexpr Duration refusalDelay = std::chrono::milliseconds(200);
 // The process must be gone before it is killed.
 constexpr Duration exitMargin = std::chrono::milliseconds(300);
 
@@ -48,6 +50,11 @@
     return lifecycle.stopRequestedAt && now >= idleCloseAt(lifecycle);
 }
 
+auto refusesNew(const Lifecycle &lifecycle, TimePoint now) -> bool
+{
+    return lifecycle.stopRequestedAt && now >= idleCloseAt(lifecycle) + refusalDelay;
+}
+
 auto mayExit(const Lifecycle &lifecycle, std::size_t openRequests, TimePoint now) -> bool
 {
     if (!lifecycle.stopRequestedAt)
--- a/core/lifecycle.h
+++ b/core/lifecycle.h
@@ -35,6 +35,10 @@
 // Idle connections are closed once the balancer sends nothing new.
 auto closesIdle(const Lifecycle &lifecycle, TimePoint now) -> bool;
 
+// A while later, new requests are refused as not run. A balancer that has too few other instances
+// goes on sending them.
+auto refusesNew(const Lifecycle &lifecycle, TimePoint now) -> bool;
+
 // True once all requests have ended and no new ones can come, or the grace time is nearly over.
 auto mayExit(const Lifecycle &lifecycle, std::size_t openRequests, TimePoint now) -> bool;
 
--- a/runtime/front.cpp
+++ b/runtime/front.cpp
@@ -93,17 +93,7 @@
                                     },
                                     [](CallerId) {}})
 {
-    this->reactor.addTimer(
-            [this]() -> std::optional<TimePoint> {
-                if (this->onStopped == nullptr)
-                    return {};
-                // Requests end at any time, so that the loop asks often in the last seconds.
-                constexpr auto interval = std::chrono::milliseconds(100);
-                const auto now = decisionNow();
-                const auto next = nextWake(this->lifecycle, now).value_or(now);
-                return closesIdle(this->lifecycle, now) ? std::min(next, now + interval) : next;
-            },
-            [this] { this->checkStop(); });
+    this->reactor.addTimer([this] { return this->nextStopCheck; }, [this] { this->checkStop(); });
 }
 
 auto Front::start(const FrontSettings &settings, FrontCodec codec, GMainContext *context)
@@ -227,16 +217,26 @@
     requestStop(this->lifecycle, decisionNow());
     this->callers.announceClose();
     this->onStopped = std::move(stopped);
+    this->nextStopCheck = nextWake(this->lifecycle, decisionNow());
 }
 
 auto Front::checkStop() -> void
 {
+    // Requests end at any time, so that the end is looked for often once it may come.
+    constexpr auto interval = std::chrono::milliseconds(20);
     const auto now = decisionNow();
+    if (refusesNew(this->lifecycle, now))
+        this->forwarder.post(NewRequestsRefused());
     if (closesIdle(this->lifecycle, now))
         this->callers.closeIdle();
     const auto open = this->callers.openRequests();
-    if (!mayExit(this->lifecycle, open, now))
+    if (!mayExit(this->lifecycle, open, now)) {
+        this->nextStopCheck = closesIdle(this->lifecycle, now)
+                                      ? now + interval
+                                      : nextWake(this->lifecycle, now);
         return;
+    }
+    this->nextStopCheck.reset();
     logEvent(open == 0 ? LogEvent::StopCompleted : LogEvent::StopDeadlinePassed,
              {{"open_requests", std::to_string(open)}});
     std::exchange(this->onStopped, nullptr)(open == 0);
--- a/runtime/front.h
+++ b/runtime/front.h
@@ -57,6 +57,7 @@
     std::uint64_t version = 0; // of the desired state that was logged last
     bool reportedReady = false;
     std::function<auto(bool)->void> onStopped;
+    std::optional<TimePoint> nextStopCheck;
     ForwardTask forwarder;
     CallerTask callers;
     LeafTask leafs;
