Remember leafs' failures for some seconds and never count too few instances

A leaf that refuses part of its requests was avoided for 100 ms only, less than the time between two requests of one instance.

Change: the first two lists are linearizable, a smaller count is not believed, and failure rate and slowness of a leaf fade with a half-life of 5 s.

--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -424,7 +424,9 @@
 auto take(Forwarder &forwarder, const InstancesCounted &event, TimePoint /*now*/,
           std::vector<ForwardAction> & /*actions*/) -> void
 {
-    forwarder.share.instances = std::max(1U, event.instances);
+    // A list may be old and lack an instance that is there. Too high a number does no harm.
+    const auto former = forwarder.instancesKnown ? forwarder.share.instances : 1U;
+    forwarder.share.instances = std::max(former, event.instances);
     forwarder.instancesKnown = true;
 }
 
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -10,9 +10,9 @@
 
 // Weight of a new observation of the slowness.
 constexpr double newWeight = 0.3;
-// Without answers, half of the deviation from the usual speed is forgotten in this time. Leafs turn
-// slow for some seconds.
-constexpr auto slownessHalfLife = std::chrono::seconds(3);
+// Without answers, half of what was seen of a leaf is forgotten in this time. Leafs turn slow or
+// fail for some seconds, and an instance of a large deployment asks one about once a second.
+constexpr auto memoryHalfLife = std::chrono::seconds(5);
 constexpr double leastSlowness = 0.5;
 constexpr double greatestSlowness = 20;
 
@@ -32,8 +32,23 @@
         table.byService.erase(leaf.record.service);
 }
 
+// Part of an observation of this age that is still believed.
+auto remembered(Duration age) -> double
+{
+    const auto halvings = std::chrono::duration<double>(age) / memoryHalfLife;
+    return std::exp2(-std::max(0.0, halvings));
+}
+
+auto recordOutcome(LeafState &leaf, double failed, TimePoint now) -> void
+{
+    const auto former = failureRateOf(leaf, now);
+    leaf.failureRate = former + newWeight * (failed - former);
+    leaf.failureRateAt = now;
+}
+
 auto startAnew(LeafState &leaf) -> void
 {
+    leaf.failureRate = 0;
     leaf.misdirected = false;
     leaf.slowness = 1;
     leaf.load = {};
@@ -122,14 +137,19 @@
 
 auto slownessOf(const LeafState &leaf, TimePoint now) -> double
 {
-    const auto halvings = std::chrono::duration<double>(now - leaf.slownessAt) / slownessHalfLife;
-    return 1 + (leaf.slowness - 1) * std::exp2(-std::max(0.0, halvings));
+    return 1 + (leaf.slowness - 1) * remembered(now - leaf.slownessAt);
+}
+
+auto failureRateOf(const LeafState &leaf, TimePoint now) -> double
+{
+    return leaf.failureRate * remembered(now - leaf.failureRateAt);
 }
 
 auto noteAnswer(LeafState &leaf, std::optional<double> ratio, TimePoint now) -> void
 {
     leaf.failuresInRow = 0;
     leaf.avoidUntil = {};
+    recordOutcome(leaf, 0, now);
     if (!ratio)
         return;
     const auto former = slownessOf(leaf, now);
@@ -140,6 +160,7 @@
 
 auto noteFailure(LeafState &leaf, TimePoint now) -> void
 {
+    recordOutcome(leaf, 1, now);
     const auto doublings = std::min(leaf.failuresInRow++, mostDoublings);
     leaf.avoidUntil = now + std::min(shortestAvoidance * (1U << doublings), longestAvoidance);
 }
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -78,6 +78,8 @@
     TimePoint slownessAt = {};
     ReportedLoad load;
     TimePoint loadAt = {};
+    double failureRate = 0; // recent share of sends without a success
+    TimePoint failureRateAt = {};
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil = {}; // after failures; used only if there is no other
     TimePoint coldUntil = {};
@@ -119,6 +121,9 @@
 // A send got no answer.
 auto noteFailure(LeafState &leaf, TimePoint now) -> void;
 
+// Failure rate as of now.
+auto failureRateOf(const LeafState &leaf, TimePoint now) -> double;
+
 // Slowness as of now.
 auto slownessOf(const LeafState &leaf, TimePoint now) -> double;
 
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -14,6 +14,8 @@
 // Leafs that stand still do so for up to 200 ms.
 constexpr Duration stalledCost = std::chrono::milliseconds(200);
 constexpr Duration avoidedCost = std::chrono::seconds(2);
+// Of a failure: the time until the request is sent again, and the budget that this takes.
+constexpr Duration failureCost = std::chrono::milliseconds(100);
 // Spreads choices between equal leafs.
 constexpr Duration jitter = std::chrono::milliseconds(1);
 // A cold leaf works slower by about this part.
@@ -79,6 +81,7 @@
         time += otherDomainCost;
     if (opens)
         time += openCost;
+    time += scaled(failureCost, failureRateOf(leaf, now));
     if (isStalled(leaf, now))
         time += stalledCost;
     if (now < leaf.avoidUntil)
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -16,7 +16,9 @@
 // Pauses after failures. All instances share the store's rates.
 constexpr Duration shortestPause = std::chrono::milliseconds(200);
 constexpr Duration longestPause = std::chrono::milliseconds(1600);
-// The number of instances changes rarely, and old numbers do no harm.
+// Instances that start together register within this time, so that the first list may lack some.
+constexpr Duration secondCountDelay = std::chrono::seconds(3);
+// Later the number of instances changes rarely.
 constexpr Duration instancesInterval = std::chrono::seconds(15);
 // After a failure, entries that are missing may have lapsed although their leafs live.
 constexpr Duration lapseSuspicion = std::chrono::seconds(6);
@@ -40,8 +42,8 @@
     if (kind == ObjectKind::Instances && !reader.registered)
         actions.emplace_back(StoreRequest(RegisterInstance{reader.instanceName}));
     else if (!state.listed)
-        actions.emplace_back(
-                StoreRequest(ListObjects{kind, state.continueAfter, !isWatched(kind)}));
+        actions.emplace_back(StoreRequest(
+                ListObjects{kind, state.continueAfter, !isWatched(kind) && reader.countedTwice}));
     else
         actions.emplace_back(StoreRequest(WatchObjects{kind, state.revision, watchTime}));
 }
@@ -147,9 +149,11 @@
     state.listing.clear();
     publish(state, event.kind, std::move(changes), now, actions);
     state.listed = isWatched(event.kind);
-    scheduleCall(state, isWatched(event.kind) ? now : now + instancesInterval);
     if (state.listed)
-        startCall(reader, event.kind, actions);
+        return startCall(reader, event.kind, actions);
+    const auto counted = std::exchange(reader.countedOnce, true);
+    reader.countedTwice = counted;
+    scheduleCall(state, now + (counted ? instancesInterval : secondCountDelay));
 }
 
 auto take(StoreReader &reader, const ObjectsChanged &event, TimePoint now,
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -155,6 +155,8 @@
 {
     std::string instanceName;
     bool registered = false;
+    bool countedOnce = false; // instances were listed
+    bool countedTwice = false;
     RandomState random;
     std::array<KindReader, static_cast<std::size_t>(ObjectKind::Count)> kinds;
 };
