--- a/runtime/log.cpp
+++ b/base/log.cpp
@@ -71,6 +71,8 @@
          "the failure domains that get nothing, in full"},
         {LogEvent::InstancesCounted, "instances_counted", Severity::Info,
          "the number of instances that share the limits"},
+        {LogEvent::SourceChanged, "source_changed", Severity::Info,
+         "the store's objects are read from another source"},
         {LogEvent::PeerLinkOpened, "peer_link_opened", Severity::Info,
          "the stream to a peer is open"},
         {LogEvent::PeerLinkLost, "peer_link_lost", Severity::Warning,
--- a/runtime/log.h
+++ b/base/log.h
@@ -39,6 +39,7 @@
     LeafRemoved = 209,
     EvacuationsChanged = 210,
     InstancesCounted = 211,
+    SourceChanged = 212,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -5,6 +5,7 @@
 #include "invariants.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusreach::forward {
 
@@ -26,7 +27,12 @@
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
 // Calls in progress take memory; beyond this number new ones are turned away.
 constexpr std::size_t mostCalls = 2000;
-// A retry into the same service is pointless if the call ends within this time.
+// At the start, the state is read within some tens of milliseconds. A request is held so long,
+// though no longer than this part of its time.
+constexpr Duration longestHold = std::chrono::milliseconds(250);
+constexpr std::int64_t holdParts = 4;
+constexpr std::size_t mostHeld = 500;
+// Calls that wait for a connection; beyond this number new ones are turned away.
 constexpr std::size_t mostWaiting = 200;
 
 auto statsOf(Forwarder &forwarder, const Route &route) -> RouteStats &
@@ -167,12 +173,10 @@
     return stats.longestTimeLeft - timeLeft;
 }
 
-auto take(Forwarder &forwarder, const RequestArrived &event, TimePoint now,
-          std::vector<ForwardAction> &actions) -> void
+// Starts a call, which may have arrived some time ago.
+auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
+           std::vector<ForwardAction> &actions) -> void
 {
-    ++forwarder.counters.requests;
-    if (forwarder.refusesNew)
-        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::Stopping, actions);
     if (forwarder.table == nullptr)
         return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
     const auto *route = findRoute(*forwarder.table, event.request->host, event.request->target);
@@ -187,9 +191,9 @@
     call.table = forwarder.table;
     call.route = route;
     call.stats = &statsOf(forwarder, *route);
-    call.arrivedAt = now;
-    call.endAt = now + std::min(event.request->timeLeft, route->timeout) - endMargin;
-    call.partialAt = now + route->targetLatency - answerMargin
+    call.arrivedAt = arrivedAt;
+    call.endAt = arrivedAt + std::min(event.request->timeLeft, route->timeout) - endMargin;
+    call.partialAt = arrivedAt + route->targetLatency - answerMargin
                      - elapsedBefore(*call.stats, event.request->timeLeft);
     call.parts = buildParts(*call.stats, *route);
     if (call.endAt <= now)
@@ -204,9 +208,55 @@
     advance(forwarder, call, now, actions);
 }
 
+auto hold(Forwarder &forwarder, const RequestArrived &event, TimePoint now) -> void
+{
+    const auto time = std::min(longestHold, event.request->timeLeft / holdParts);
+    forwarder.held.push_back({event, now, now + time});
+}
+
+auto refuseHeld(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions) -> void
+{
+    std::erase_if(forwarder.held, [&](const HeldRequest &item) {
+        const auto ended = forwarder.stateUnavailable || item.heldUntil <= now;
+        if (ended)
+            refuse(forwarder, item.event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
+        return ended;
+    });
+}
+
+auto take(Forwarder &forwarder, const StateRead & /*event*/, TimePoint now,
+          std::vector<ForwardAction> &actions) -> void
+{
+    forwarder.stateRead = true;
+    for (const auto &item : std::exchange(forwarder.held, {}))
+        admit(forwarder, item.event, item.arrivedAt, now, actions);
+}
+
+auto take(Forwarder &forwarder, const StateUnavailable & /*event*/, TimePoint now,
+          std::vector<ForwardAction> &actions) -> void
+{
+    forwarder.stateUnavailable = true;
+    refuseHeld(forwarder, now, actions);
+}
+
+auto take(Forwarder &forwarder, const RequestArrived &event, TimePoint now,
+          std::vector<ForwardAction> &actions) -> void
+{
+    ++forwarder.counters.requests;
+    if (forwarder.refusesNew)
+        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::Stopping, actions);
+    if (forwarder.stateRead)
+        return admit(forwarder, event, now, now, actions);
+    if (forwarder.stateUnavailable || forwarder.held.size() >= mostHeld)
+        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
+    hold(forwarder, event, now);
+}
+
 auto take(Forwarder &forwarder, const CallerLeft &event, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
 {
+    std::erase_if(forwarder.held,
+                  [&](const HeldRequest &item) { return item.event.call == event.call; });
     const auto found = forwarder.calls.find(event.call);
     if (found == forwarder.calls.end())
         return;
@@ -465,6 +515,7 @@
           std::vector<ForwardAction> &actions) -> void
 {
     applyRemovals(forwarder.leafs, now);
+    refuseHeld(forwarder, now, actions);
     while (!forwarder.alarms.empty() && forwarder.alarms.top().at <= now) {
         const auto alarm = forwarder.alarms.top();
         forwarder.alarms.pop();
@@ -504,6 +555,8 @@
 auto nextWake(const Forwarder &forwarder) -> std::optional<TimePoint>
 {
     auto wake = forwarder.leafs.nextRemoval;
+    for (const auto &item : forwarder.held)
+        wake = std::min(wake.value_or(TimePoint::max()), item.heldUntil);
     if (!forwarder.alarms.empty())
         wake = std::min(wake.value_or(TimePoint::max()), forwarder.alarms.top().at);
     return wake;
@@ -521,7 +574,7 @@
 
 auto canServe(const Forwarder &forwarder) -> bool
 {
-    return forwarder.table != nullptr && !forwarder.leafs.byService.empty();
+    return forwarder.stateRead && forwarder.table != nullptr && !forwarder.leafs.byService.empty();
 }
 
 } // namespace crocusreach::forward
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -50,6 +50,14 @@
     auto operator>(const Alarm &other) const -> bool { return this->at > other.at; }
 };
 
+// A request that arrived while the state was being read at the start.
+struct HeldRequest
+{
+    RequestArrived event;
+    TimePoint arrivedAt = {};
+    TimePoint heldUntil = {};
+};
+
 struct Forwarder
 {
     ForwarderSettings settings;
@@ -59,6 +67,9 @@
     InstanceShare share;
     bool instancesKnown = false;
     bool refusesNew = false;
+    bool stateRead = false;
+    bool stateUnavailable = false; // requests are refused until the state is read
+    std::vector<HeldRequest> held; // arrived before the state was read
     RandomState random;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<SendId, Send> sends;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -144,6 +144,14 @@
     ForwarderSettings settings;
 };
 
+// Desired state and leafs are known whole; from now on requests are decided.
+struct StateRead
+{ };
+
+// They are not, and it may take a while.
+struct StateUnavailable
+{ };
+
 // The instance is about to end: requests that arrive from now on are refused.
 struct NewRequestsRefused
 { };
@@ -154,7 +162,7 @@
 using ForwardEvent = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, LinkClosed,
                                   RoutesChanged, LeafsRegistered, LeafsRemoved, DomainsEvacuated,
                                   InstancesCounted, SettingsChanged,
-                                  NewRequestsRefused, ForwarderTick>;
+                                  NewRequestsRefused, StateRead, StateUnavailable, ForwarderTick>;
 
 // Actions.
 
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -9,234 +9,432 @@
 
 // The store ends a watch without a change after this time. A connection that died without a sign
 // is found sooner, by the transport's keep-alive.
-constexpr Duration watchTime = std::chrono::seconds(15);
+constexpr Duration storeWatchTime = std::chrono::seconds(25);
+// Another instance answers at least this often, so that its failure is found in time: changes must
+// be in force within 3 s, and the store is read within milliseconds after the failure is found.
+constexpr Duration seedWatchTime = std::chrono::milliseconds(900);
+constexpr Duration seedPatience = std::chrono::milliseconds(500);
+// An instance whose last word from the store is older than this is not believed.
+constexpr Duration oldestStoreAge = std::chrono::milliseconds(1700);
+// While other instances read from this one, the store is asked this often.
+constexpr Duration probeInterval = std::chrono::milliseconds(1000);
+constexpr Duration probePatience = std::chrono::milliseconds(600);
+constexpr Duration askedMemory = std::chrono::seconds(5);
+// After all seeds have failed, the store is watched for this time.
+constexpr Duration storeTime = std::chrono::seconds(4);
+// Up to this number of instances, all of them watch the store themselves: it bears that, and
+// nothing depends on another instance.
+constexpr std::size_t mostStoreWatchers = 12;
+// An instance that may follow a seed first learns how many instances there are, before it watches
+// the store. Instances that start together register within this time.
+constexpr Duration countDelay = std::chrono::milliseconds(1000);
+constexpr Duration firstWatchDelay = std::chrono::milliseconds(1400);
 // Changes often come several at a time. After one, the next watch waits this long, so that it
-// returns them together; changes must be in force within seconds.
-constexpr Duration gatherTime = std::chrono::milliseconds(250);
+// returns them together.
+constexpr Duration gatherTime = std::chrono::milliseconds(300);
+// The store answers in milliseconds, and when it is slow within some hundred. The patience for a
+// list doubles with each failure.
+constexpr Duration shortestPatience = std::chrono::milliseconds(500);
+constexpr Duration longestPatience = std::chrono::milliseconds(2500);
 // Pauses after failures. All instances share the store's rates.
 constexpr Duration shortestPause = std::chrono::milliseconds(200);
 constexpr Duration longestPause = std::chrono::milliseconds(1600);
-// Instances that start together register within this time, so that the first list may lack some.
-constexpr Duration secondCountDelay = std::chrono::seconds(3);
-// Later the number of instances changes rarely.
-constexpr Duration instancesInterval = std::chrono::seconds(15);
+// Until everything was read once, no request can be served.
+constexpr Duration longestFirstPause = std::chrono::milliseconds(300);
 // After a failure, entries that are missing may have lapsed although their leafs live.
 constexpr Duration lapseSuspicion = std::chrono::seconds(6);
 
-auto readerOf(StoreReader &reader, ObjectKind kind) -> KindReader &
+auto channelAt(StoreReader &reader, std::size_t number) -> ChannelState &
 {
-    return reader.kinds.at(static_cast<std::size_t>(kind));
+    return reader.channels.at(number);
 }
 
-auto isWatched(ObjectKind kind) -> bool
+auto kindCache(StoreReader &reader, std::size_t number) -> KindCache &
 {
-    return kind != ObjectKind::Instances;
+    return reader.cache.kinds.at(number);
 }
 
-auto startCall(StoreReader &reader, ObjectKind kind, std::vector<StoreReaderAction> &actions)
+auto isObjectChannel(std::size_t number) -> bool
+{
+    return number < objectKinds;
+}
+
+auto sourceAddress(const StoreReader &reader) -> std::string
+{
+    return reader.seed ? reader.settings.seeds.at(*reader.seed) : std::string();
+}
+
+auto listPatience(const ChannelState &channel) -> Duration
+{
+    constexpr std::uint32_t mostDoublings = 3;
+    return std::min(longestPatience,
+                    shortestPatience * (1U << std::min(channel.failures, mostDoublings)));
+}
+
+auto makeCall(const StoreReader &reader, std::size_t number) -> StoreCall
+{
+    const auto &channel = reader.channels.at(number);
+    auto call = StoreCall{static_cast<Channel>(number), {}, ProbeStore(), probePatience};
+    if (call.channel == Channel::Register) {
+        call.request = RegisterInstance{reader.settings.instance};
+        call.patience = longestPatience;
+    }
+    if (!isObjectChannel(number))
+        return call;
+    call.address = sourceAddress(reader);
+    const auto kind = static_cast<ObjectKind>(number);
+    const auto wait = reader.seed ? seedWatchTime : storeWatchTime;
+    if (!channel.listed) {
+        call.request = ListObjects{kind, channel.continueAfter};
+        call.patience = listPatience(channel);
+    } else {
+        call.request = WatchObjects{kind, reader.cache.kinds.at(number).revision, wait};
+        call.patience = wait + (reader.seed ? seedPatience : longestPatience);
+    }
+    return call;
+}
+
+auto startCall(StoreReader &reader, std::size_t number, TimePoint now,
+               std::vector<StoreReaderAction> &actions) -> void
+{
+    auto &channel = channelAt(reader, number);
+    channel.running = true;
+    channel.callAt.reset();
+    channel.calledAt = now;
+    actions.emplace_back(makeCall(reader, number));
+}
+
+auto scheduleCall(ChannelState &channel, TimePoint at) -> void
+{
+    channel.running = false;
+    channel.callAt = at;
+}
+
+auto startListing(StoreReader &reader, std::size_t number) -> void
+{
+    channelAt(reader, number).listed = false;
+    channelAt(reader, number).continueAfter.clear();
+    kindCache(reader, number).listing.clear();
+}
+
+// Ends all calls to the source and starts anew at the current one. Watches go on from the revision
+// that is known, since all sources count the store's revisions.
+auto restartObjectCalls(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
         -> void
 {
-    auto &state = readerOf(reader, kind);
-    state.callRunning = true;
-    state.callAt.reset();
-    if (kind == ObjectKind::Instances && !reader.registered)
-        actions.emplace_back(StoreRequest(RegisterInstance{reader.instanceName}));
-    else if (!state.listed)
-        actions.emplace_back(StoreRequest(
-                ListObjects{kind, state.continueAfter, !isWatched(kind) && reader.countedTwice}));
-    else
-        actions.emplace_back(StoreRequest(WatchObjects{kind, state.revision, watchTime}));
+    actions.emplace_back(AbandonObjectCalls());
+    actions.emplace_back(
+            StoreNotification{StoreNotice::SourceChanged, {}, {}, sourceAddress(reader)});
+    for (std::size_t number = 0; number < objectKinds; ++number) {
+        auto &channel = channelAt(reader, number);
+        if (!channel.listed)
+            startListing(reader, number);
+        channel.blocked = false;
+        startCall(reader, number, now, actions);
+    }
+}
+
+auto useStore(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions) -> void
+{
+    reader.seed.reset();
+    reader.storeUntil = now + storeTime;
+    restartObjectCalls(reader, now, actions);
+}
+
+// The next seed, or the store once all have failed.
+auto leaveSeed(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions) -> void
+{
+    if (++reader.failedSeeds >= reader.settings.seeds.size())
+        return useStore(reader, now, actions);
+    reader.seed = (*reader.seed + 1) % reader.settings.seeds.size();
+    restartObjectCalls(reader, now, actions);
+}
+
+auto firstSeed(const StoreReader &reader) -> std::size_t
+{
+    // Instances spread over the seeds.
+    return static_cast<std::size_t>(hashName(reader.settings.instance)
+                                    % reader.settings.seeds.size());
 }
 
-auto scheduleCall(KindReader &state, TimePoint at) -> void
+auto isLarge(const StoreReader &reader) -> bool
 {
-    state.callRunning = false;
-    state.callAt = at;
+    const auto &instances = reader.cache.kinds.at(static_cast<std::size_t>(ObjectKind::Instances));
+    return instances.objects.size() - instances.deletedObjects > mostStoreWatchers;
 }
 
-auto noteSuccess(KindReader &state, ObjectKind kind, std::vector<StoreReaderAction> &actions)
+auto mayFollow(const StoreReader &reader) -> bool
+{
+    return !reader.settings.isSeed && !reader.settings.seeds.empty();
+}
+
+// Turns to a seed if the deployment is large and nothing speaks against it.
+auto considerSeeds(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
         -> void
 {
-    state.pause = {};
-    if (std::exchange(state.lost, false))
-        actions.emplace_back(StoreNotification{StoreNotice::Regained, kind, {}});
+    if (reader.seed || !mayFollow(reader) || !reader.stateRead || !isLarge(reader)
+        || now < reader.storeUntil)
+        return;
+    reader.failedSeeds = 0;
+    reader.seed = firstSeed(reader);
+    restartObjectCalls(reader, now, actions);
+}
+
+// While the store doesn't answer, one call at a time finds out whether it does again.
+auto blockOthers(StoreReader &reader, std::size_t failed) -> void
+{
+    for (std::size_t number = 0; number < failed; ++number) {
+        const auto &other = channelAt(reader, number);
+        if (other.failures > 0 && !other.blocked) {
+            channelAt(reader, failed).blocked = true;
+            channelAt(reader, failed).callAt.reset();
+            return;
+        }
+    }
+}
+
+auto unblock(StoreReader &reader, TimePoint now) -> void
+{
+    for (auto &channel : reader.channels) {
+        if (std::exchange(channel.blocked, false) && !channel.running)
+            channel.callAt = now;
+    }
 }
 
-auto startListing(KindReader &state) -> void
+auto noteSuccess(StoreReader &reader, std::size_t number, TimePoint now,
+                 std::vector<StoreReaderAction> &actions) -> void
 {
-    state.listed = false;
-    state.continueAfter.clear();
-    state.listing.clear();
+    auto &channel = channelAt(reader, number);
+    channel.pause = {};
+    channel.failures = 0;
+    if (!reader.seed || !isObjectChannel(number)) {
+        reader.provedAt = std::max(reader.provedAt.value_or(TimePoint()), channel.calledAt);
+        unblock(reader, now);
+    }
+    if (reader.seed && isObjectChannel(number))
+        reader.failedSeeds = 0;
+    if (std::exchange(channel.lost, false))
+        actions.emplace_back(StoreNotification{StoreNotice::Regained,
+                                               static_cast<Channel>(number),
+                                               {},
+                                               sourceAddress(reader)});
 }
 
-// Objects of one reply, sorted by what they mean to the forwarder.
-struct Changes
+// News of one reply, sorted by what they mean to the forwarder.
+struct News
 {
     LeafsRegistered leafs;
     std::vector<std::string> removed;
     std::vector<RouteTablePtr> tables;
-    bool evacuations = false;
+    bool any = false;
 };
 
-auto addContent(KindReader &state, const StoredObject &object, Changes &changes,
-                std::vector<StoreReaderAction> &actions) -> void
+auto addNews(const StoredObject &object, News &news, std::vector<StoreReaderAction> &actions)
+        -> void
 {
-    if (const auto *unusable = std::get_if<UnusableObject>(&object.content)) {
+    news.any = true;
+    if (object.deleted) {
+        news.removed.push_back(object.name);
+    } else if (const auto *unusable = std::get_if<UnusableObject>(&object.content)) {
         actions.emplace_back(ObjectRejected{object.name, unusable->error});
-        if (state.known.erase(object.name) != 0)
-            changes.removed.push_back(object.name);
-        return;
+        news.removed.push_back(object.name);
+    } else if (const auto *leaf = std::get_if<LeafRecord>(&object.content)) {
+        news.leafs.leafs.push_back(*leaf);
+    } else if (const auto *table = std::get_if<RouteTablePtr>(&object.content)) {
+        news.tables.push_back(*table);
     }
-    state.known.insert(object.name);
-    if (const auto *leaf = std::get_if<LeafRecord>(&object.content))
-        changes.leafs.leafs.push_back(*leaf);
-    if (const auto *table = std::get_if<RouteTablePtr>(&object.content))
-        changes.tables.push_back(*table);
 }
 
-auto addObject(KindReader &state, const StoredObject &object, Changes &changes,
-               std::vector<StoreReaderAction> &actions) -> void
+auto evacuatedDomains(const KindCache &cache) -> DomainsEvacuated
 {
-    if (!object.deleted)
-        return addContent(state, object, changes, actions);
-    if (state.known.erase(object.name) != 0)
-        changes.removed.push_back(object.name);
+    auto evacuated = DomainsEvacuated();
+    for (const auto *object : liveObjects(cache))
+        evacuated.domains.insert(object->name);
+    return evacuated;
 }
 
-auto publish(const KindReader &state, ObjectKind kind, Changes &&changes, TimePoint now,
+auto publish(StoreReader &reader, ObjectKind kind, News &&news, TimePoint now,
              std::vector<StoreReaderAction> &actions) -> void
 {
+    if (!news.any)
+        return;
+    const auto &cache = kindCache(reader, static_cast<std::size_t>(kind));
     if (kind == ObjectKind::Evacuations)
-        actions.emplace_back(ForwardEvent(DomainsEvacuated{state.known}));
+        actions.emplace_back(ForwardEvent(evacuatedDomains(cache)));
     if (kind == ObjectKind::Instances)
-        actions.emplace_back(
-                ForwardEvent(InstancesCounted{static_cast<std::uint32_t>(state.known.size())}));
-    for (auto &table : changes.tables)
+        actions.emplace_back(ForwardEvent(InstancesCounted{
+                static_cast<std::uint32_t>(cache.objects.size() - cache.deletedObjects)}));
+    for (auto &table : news.tables)
         actions.emplace_back(ForwardEvent(RoutesChanged{std::move(table)}));
-    if (!changes.leafs.leafs.empty())
-        actions.emplace_back(ForwardEvent(std::move(changes.leafs)));
-    const auto wasAway = state.failedAt && now - *state.failedAt < lapseSuspicion;
-    if (kind == ObjectKind::Leafs && !changes.removed.empty())
-        actions.emplace_back(ForwardEvent(LeafsRemoved{std::move(changes.removed), wasAway}));
+    if (!news.leafs.leafs.empty())
+        actions.emplace_back(ForwardEvent(std::move(news.leafs)));
+    const auto wasAway = reader.failedAt && now - *reader.failedAt < lapseSuspicion;
+    if (kind == ObjectKind::Leafs && !news.removed.empty())
+        actions.emplace_back(ForwardEvent(LeafsRemoved{std::move(news.removed), wasAway}));
 }
 
-auto take(StoreReader &reader, const ObjectsListed &event, TimePoint now,
-          std::vector<StoreReaderAction> &actions) -> void
+auto noteRead(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions) -> void
 {
-    auto &state = readerOf(reader, event.kind);
-    noteSuccess(state, event.kind, actions);
-    auto changes = Changes();
-    for (const auto &object : event.objects) {
-        state.listing.insert(object.name);
-        addObject(state, object, changes, actions);
+    if (!reader.stateRead && hasRead(reader)) {
+        reader.stateRead = true;
+        actions.emplace_back(ForwardEvent(StateRead()));
     }
-    state.continueAfter = event.continueAfter;
+    considerSeeds(reader, now, actions);
+}
+
+auto take(StoreReader &reader, std::size_t number, const ObjectsListed &listed, TimePoint now,
+          std::vector<StoreReaderAction> &actions) -> void
+{
+    auto &channel = channelAt(reader, number);
+    auto &cache = kindCache(reader, number);
+    auto news = News();
     // A list of several pages is as old as its first one.
-    if (state.revision == 0 || state.listing.size() == event.objects.size())
-        state.revision = event.revision;
-    if (!state.continueAfter.empty()) {
-        publish(state, event.kind, std::move(changes), now, actions);
-        return startCall(reader, event.kind, actions);
+    if (channel.continueAfter.empty())
+        channel.listRevision = listed.revision;
+    for (const auto &object : listed.objects) {
+        cache.listing.insert(object.name);
+        if (takeObject(cache, object, channel.listRevision))
+            addNews(object, news, actions);
     }
-    for (auto name = state.known.begin(); name != state.known.end();) {
-        if (state.listing.contains(*name)) {
-            ++name;
-            continue;
+    channel.continueAfter = listed.continueAfter;
+    if (channel.continueAfter.empty()) {
+        for (const auto &name : finishList(cache, channel.listRevision)) {
+            news.any = true;
+            news.removed.push_back(name);
         }
-        changes.removed.push_back(*name);
-        name = state.known.erase(name);
+        channel.listed = true;
     }
-    state.listing.clear();
-    publish(state, event.kind, std::move(changes), now, actions);
-    state.listed = isWatched(event.kind);
-    if (state.listed)
-        return startCall(reader, event.kind, actions);
-    const auto counted = std::exchange(reader.countedOnce, true);
-    reader.countedTwice = counted;
-    scheduleCall(state, now + (counted ? instancesInterval : secondCountDelay));
+    publish(reader, static_cast<ObjectKind>(number), std::move(news), now, actions);
+    if (!channel.listed || reader.seed || !mayFollow(reader))
+        startCall(reader, number, now, actions);
+    else if (static_cast<ObjectKind>(number) == ObjectKind::Instances)
+        scheduleCall(channel, now + countDelay);
+    else
+        scheduleCall(channel, now + firstWatchDelay);
+    if (channel.listed)
+        noteRead(reader, now, actions);
 }
 
-auto take(StoreReader &reader, const ObjectsChanged &event, TimePoint now,
+auto take(StoreReader &reader, std::size_t number, const ObjectsChanged &changed, TimePoint now,
           std::vector<StoreReaderAction> &actions) -> void
 {
-    auto &state = readerOf(reader, event.kind);
-    noteSuccess(state, event.kind, actions);
-    auto changes = Changes();
-    for (const auto &object : event.objects)
-        addObject(state, object, changes, actions);
-    state.revision = std::max(state.revision, event.revision);
-    if (!event.objects.empty())
-        publish(state, event.kind, std::move(changes), now, actions);
-    scheduleCall(state, event.objects.empty() ? now : now + gatherTime);
-    if (event.objects.empty())
-        startCall(reader, event.kind, actions);
+    auto &cache = kindCache(reader, number);
+    auto news = News();
+    for (const auto &object : changed.objects) {
+        if (takeObject(cache, object, changed.revision))
+            addNews(object, news, actions);
+    }
+    cache.revision = std::max(cache.revision, changed.revision);
+    publish(reader, static_cast<ObjectKind>(number), std::move(news), now, actions);
+    if (changed.objects.empty())
+        startCall(reader, number, now, actions);
+    else
+        scheduleCall(channelAt(reader, number), now + gatherTime);
+    considerSeeds(reader, now, actions);
 }
 
-auto take(StoreReader &reader, const HistoryGone &event, TimePoint /*now*/,
+auto take(StoreReader &reader, std::size_t number, const HistoryGone & /*gone*/, TimePoint now,
           std::vector<StoreReaderAction> &actions) -> void
 {
-    auto &state = readerOf(reader, event.kind);
-    startListing(state);
-    startCall(reader, event.kind, actions);
+    startListing(reader, number);
+    startCall(reader, number, now, actions);
+}
+
+auto take(StoreReader &reader, std::size_t number, const CallDone & /*done*/, TimePoint now,
+          std::vector<StoreReaderAction> & /*actions*/) -> void
+{
+    auto &channel = channelAt(reader, number);
+    channel.running = false;
+    if (static_cast<Channel>(number) == Channel::Probe)
+        channel.callAt = now + probeInterval;
 }
 
-auto take(StoreReader &reader, const StoreCallFailed &event, TimePoint now,
+auto take(StoreReader &reader, std::size_t number, const CallFailed &failed, TimePoint now,
           std::vector<StoreReaderAction> &actions) -> void
 {
-    auto &state = readerOf(reader, event.kind);
-    state.failedAt = now;
-    state.pause = std::clamp(state.pause * 2, shortestPause, longestPause);
+    auto &channel = channelAt(reader, number);
+    ++channel.failures;
+    if (!std::exchange(channel.lost, true))
+        actions.emplace_back(StoreNotification{StoreNotice::Lost, static_cast<Channel>(number),
+                                               failed.failure, sourceAddress(reader)});
+    if (reader.seed && isObjectChannel(number))
+        return leaveSeed(reader, now, actions);
+    reader.failedAt = now;
+    if (!reader.stateRead)
+        actions.emplace_back(ForwardEvent(StateUnavailable()));
     // A list in progress starts again: its first pages are older by now.
-    if (!state.listed)
-        startListing(state);
+    if (isObjectChannel(number) && !channel.listed)
+        startListing(reader, number);
+    const auto longest = reader.stateRead ? longestPause : longestFirstPause;
+    channel.pause = std::clamp(channel.pause * 2, shortestPause, longest);
     // Between half of the pause and all of it, so that instances don't call together.
-    const auto part = nextRandom(reader.random) % static_cast<std::uint64_t>(state.pause.count());
-    scheduleCall(state, now + state.pause / 2 + Duration(static_cast<Duration::rep>(part / 2)));
-    if (!std::exchange(state.lost, true))
-        actions.emplace_back(StoreNotification{StoreNotice::Lost, event.kind, event.failure});
+    const auto part = nextRandom(reader.random) % static_cast<std::uint64_t>(channel.pause.count());
+    scheduleCall(channel, now + channel.pause / 2 + Duration(static_cast<Duration::rep>(part / 2)));
+    blockOthers(reader, number);
+    // An instance that starts while the store is away asks the others.
+    if (!reader.stateRead && mayFollow(reader) && !reader.seed && now >= reader.storeUntil) {
+        reader.failedSeeds = 0;
+        reader.seed = firstSeed(reader);
+        restartObjectCalls(reader, now, actions);
+    }
 }
 
-auto take(StoreReader &reader, const InstanceRegistered & /*event*/, TimePoint /*now*/,
+auto take(StoreReader &reader, const StoreReply &reply, TimePoint now,
           std::vector<StoreReaderAction> &actions) -> void
 {
-    auto &state = readerOf(reader, ObjectKind::Instances);
-    noteSuccess(state, ObjectKind::Instances, actions);
-    reader.registered = true;
-    startCall(reader, ObjectKind::Instances, actions);
+    const auto number = static_cast<std::size_t>(reply.channel);
+    const auto failed = std::holds_alternative<CallFailed>(reply.content);
+    const auto stale = reader.seed && isObjectChannel(number) && !failed
+                       && reply.storeAge.value_or(Duration::max()) > oldestStoreAge;
+    if (stale)
+        return take(reader, number, CallFailed{StoreFailure::Stale}, now, actions);
+    if (!failed)
+        noteSuccess(reader, number, now, actions);
+    std::visit([&](const auto &content) { take(reader, number, content, now, actions); },
+               reply.content);
 }
 
-auto take(StoreReader &reader, const StoreReaderTick & /*event*/, TimePoint now,
+auto take(StoreReader &reader, const StoreReaderTick & /*tick*/, TimePoint now,
           std::vector<StoreReaderAction> &actions) -> void
 {
-    for (std::size_t number = 0; number < reader.kinds.size(); ++number) {
-        const auto &state = reader.kinds.at(number);
-        if (state.callAt && *state.callAt <= now)
-            startCall(reader, static_cast<ObjectKind>(number), actions);
+    for (std::size_t number = 0; number < storeChannels; ++number) {
+        auto &channel = channelAt(reader, number);
+        if (!channel.callAt || now < *channel.callAt)
+            continue;
+        const auto idleProbe = static_cast<Channel>(number) == Channel::Probe
+                               && (!reader.askedAt || now - *reader.askedAt > askedMemory);
+        if (idleProbe)
+            channel.callAt.reset();
+        else
+            startCall(reader, number, now, actions);
     }
 }
 
 } // namespace
 
-auto toString(ObjectKind kind) -> std::string_view
+auto toString(StoreFailure failure) -> std::string_view
 {
     static constexpr auto names
-            = std::to_array<std::string_view>({"routes", "evacuations", "leafs", "instances"});
-    return names.at(static_cast<std::size_t>(kind));
+            = std::to_array<std::string_view>({"unreachable", "refused", "invalid", "stale"});
+    return names.at(static_cast<std::size_t>(failure));
 }
 
-auto toString(StoreFailure failure) -> std::string_view
+auto toString(Channel channel) -> std::string_view
 {
-    static constexpr auto names
-            = std::to_array<std::string_view>({"unreachable", "refused", "invalid"});
-    return names.at(static_cast<std::size_t>(failure));
+    static constexpr auto names = std::to_array<std::string_view>(
+            {"routes", "evacuations", "leafs", "instances", "register", "probe"});
+    return names.at(static_cast<std::size_t>(channel));
 }
 
-auto startReading(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
-        -> void
+auto startReading(StoreReader &reader, const StoreReaderSettings &settings, TimePoint now,
+                  std::vector<StoreReaderAction> &actions) -> void
 {
-    for (auto &kind : reader.kinds)
-        kind.callAt = now;
-    take(reader, StoreReaderTick(), now, actions);
+    reader.settings = settings;
+    reader.random.value = hashName(settings.instance) | 1U;
+    for (std::size_t number = 0; number < storeChannels; ++number) {
+        if (static_cast<Channel>(number) != Channel::Probe)
+            startCall(reader, number, now, actions);
+    }
 }
 
 auto handle(StoreReader &reader, const StoreEvent &event, TimePoint now,
@@ -248,20 +446,35 @@
 auto nextWake(const StoreReader &reader) -> std::optional<TimePoint>
 {
     auto wake = std::optional<TimePoint>();
-    for (const auto &kind : reader.kinds) {
-        if (kind.callAt)
-            wake = std::min(wake.value_or(TimePoint::max()), *kind.callAt);
+    for (const auto &channel : reader.channels) {
+        if (channel.callAt)
+            wake = std::min(wake.value_or(TimePoint::max()), *channel.callAt);
     }
     return wake;
 }
 
 auto hasRead(const StoreReader &reader) -> bool
 {
-    const auto listed = [&](ObjectKind kind) {
-        return reader.kinds.at(static_cast<std::size_t>(kind)).listed;
+    const auto complete = [&](ObjectKind kind) {
+        return reader.cache.kinds.at(static_cast<std::size_t>(kind)).complete;
     };
-    return listed(ObjectKind::Routes) && listed(ObjectKind::Leafs)
-           && listed(ObjectKind::Evacuations);
+    return complete(ObjectKind::Routes) && complete(ObjectKind::Leafs)
+           && complete(ObjectKind::Evacuations);
+}
+
+auto noteAsked(StoreReader &reader, TimePoint now) -> void
+{
+    reader.askedAt = now;
+    auto &probe = reader.channels.at(static_cast<std::size_t>(Channel::Probe));
+    if (!probe.running && !probe.callAt)
+        probe.callAt = now;
+}
+
+auto storeAge(const StoreReader &reader, TimePoint now) -> std::optional<Duration>
+{
+    if (!reader.provedAt)
+        return {};
+    return now - *reader.provedAt;
 }
 
 } // namespace crocusreach::forward
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -1,69 +1,38 @@
 #pragma once
 
 #include "forwardmessages.h"
+#include "objectcache.h"
 #include "routing.h"
 #include "types.h"
 
 #include <array>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 // Keeps what the platform's store holds known here: lists each kind of object once, then watches
-// it, and lists again after a gap. Calls are dear and limited over all instances, so that at most
-// one call of a kind runs and failures are followed by growing pauses.
+// it, and lists again after a gap. Calls to the store are dear and limited over all instances.
+// Therefore an instance of a large deployment watches one of a few other instances (its seeds)
+// instead, which watch the store, and turns to the store itself only if these fail or fall behind.
 
 namespace crocusreach::forward {
 
-enum class ObjectKind : std::uint8_t { Routes, Evacuations, Leafs, Instances, Count };
-
-auto toString(ObjectKind kind) -> std::string_view;
-
-struct EvacuatedDomain
-{
-    std::string domain;
-};
-
-// Another instance, or this one.
-struct RegisteredInstance
-{
-    std::string name;
-};
-
-// An object that can't be used. It counts as absent.
-struct UnusableObject
-{
-    Error error;
-};
-
-using ObjectContent = std::variant<RouteTablePtr, EvacuatedDomain, LeafRecord, RegisteredInstance,
-                                   UnusableObject>;
-
-struct StoredObject
-{
-    std::string name;
-    bool deleted = false; // the content then means nothing
-    ObjectContent content;
-};
-
 // Calls.
 
 struct ListObjects
 {
     ObjectKind kind = ObjectKind::Routes;
     std::string after; // continue after this name; empty: from the start
-    bool staleAllowed = false; // the answer may be seconds old and costs less
 };
 
 struct WatchObjects
 {
     ObjectKind kind = ObjectKind::Routes;
     std::uint64_t revision = 0; // changes after this one
-    Duration wait = {}; // the store answers without a change after this time
+    Duration wait = {}; // the source answers without a change after this time
 };
 
 // Creates the entry of this instance.
@@ -72,13 +41,33 @@
     std::string name;
 };
 
-using StoreRequest = std::variant<ListObjects, WatchObjects, RegisterInstance>;
+// The cheapest call that proves that the store answers.
+struct ProbeStore
+{ };
+
+using StoreRequest = std::variant<ListObjects, WatchObjects, RegisterInstance, ProbeStore>;
+
+// One call of a channel runs at a time. The first channels are those of the kinds of objects.
+enum class Channel : std::uint8_t { Routes, Evacuations, Leafs, Instances, Register, Probe, Count };
+
+constexpr auto storeChannels = static_cast<std::size_t>(Channel::Count);
+
+struct StoreCall
+{
+    Channel channel = Channel::Routes;
+    std::string address; // of another instance; empty: the store
+    StoreRequest request;
+    Duration patience = {}; // without a reply for so long, the call has failed
+};
+
+// Ends the calls of the channels of objects. They get no reply.
+struct AbandonObjectCalls
+{ };
 
 // Events.
 
 struct ObjectsListed
 {
-    ObjectKind kind = ObjectKind::Routes;
     std::vector<StoredObject> objects;
     std::string continueAfter; // set if there is more
     std::uint64_t revision = 0;
@@ -86,84 +75,113 @@
 
 struct ObjectsChanged
 {
-    ObjectKind kind = ObjectKind::Routes;
     std::vector<StoredObject> objects;
     std::uint64_t revision = 0;
 };
 
 // The changes since the watched revision are no longer kept.
 struct HistoryGone
-{
-    ObjectKind kind = ObjectKind::Routes;
-};
+{ };
 
-enum class StoreFailure : std::uint8_t { Unreachable, Refused, Invalid };
+enum class StoreFailure : std::uint8_t {
+    Unreachable,
+    Refused,
+    Invalid,
+    Stale, // another instance answers, but has had no word from the store for too long
+};
 
 auto toString(StoreFailure failure) -> std::string_view;
 
-struct StoreCallFailed
+struct CallFailed
 {
-    ObjectKind kind = ObjectKind::Routes;
     StoreFailure failure = StoreFailure::Unreachable;
 };
 
-// The entry exists, whoever has created it.
-struct InstanceRegistered
+// Answer to a registration or a probe.
+struct CallDone
 { };
 
+using StoreReplyContent
+        = std::variant<ObjectsListed, ObjectsChanged, HistoryGone, CallFailed, CallDone>;
+
+struct StoreReply
+{
+    Channel channel = Channel::Routes;
+    StoreReplyContent content;
+    // How long ago the instance that answers has last had word from the store.
+    std::optional<Duration> storeAge;
+};
+
 struct StoreReaderTick
 { };
 
-using StoreEvent = std::variant<ObjectsListed, ObjectsChanged, HistoryGone, StoreCallFailed,
-                                InstanceRegistered, StoreReaderTick>;
+using StoreEvent = std::variant<StoreReply, StoreReaderTick>;
+
+// What the log is told.
 
-// What the log is told of the connection to the store.
-enum class StoreNotice : std::uint8_t { Lost, Regained };
+enum class StoreNotice : std::uint8_t { Lost, Regained, SourceChanged };
 
 struct StoreNotification
 {
     StoreNotice notice = StoreNotice::Lost;
-    ObjectKind kind = ObjectKind::Routes;
+    Channel channel = Channel::Routes;
     std::optional<StoreFailure> failure;
+    std::string source; // address of an instance; empty: the store
 };
 
+auto toString(Channel channel) -> std::string_view;
+
 struct ObjectRejected
 {
     std::string name;
     Error error;
 };
 
-// Requests go to the store, the forwarder's events to the forwarder.
+// Calls go out, the forwarder's events to the forwarder.
 using StoreReaderAction
-        = std::variant<StoreRequest, ForwardEvent, StoreNotification, ObjectRejected>;
+        = std::variant<StoreCall, AbandonObjectCalls, ForwardEvent, StoreNotification,
+                       ObjectRejected>;
 
-struct KindReader
+struct ChannelState
 {
-    bool callRunning = false;
-    bool listed = false; // a whole list was taken in; watch from the revision
-    std::uint64_t revision = 0;
+    bool running = false;
+    bool lost = false; // the log was told of a failure
+    bool blocked = false; // waits for the success of another channel's call
     std::optional<TimePoint> callAt; // time of the next call
+    TimePoint calledAt = {};
     Duration pause = {}; // after the latest failure
-    std::optional<TimePoint> failedAt; // latest failure
-    bool lost = false; // the log was told of a failure
+    std::uint32_t failures = 0; // in a row
+    // Of the channels of objects:
+    bool listed = false; // watch from the cache's revision
     std::string continueAfter; // of a list in progress
-    std::set<std::string, std::less<>> listing; // names in the list in progress
-    std::set<std::string, std::less<>> known;
+    std::uint64_t listRevision = 0; // of its first page
+};
+
+struct StoreReaderSettings
+{
+    std::string instance;
+    std::vector<std::string> seeds; // addresses of other instances that watch the store
+    bool isSeed = false;
 };
 
 struct StoreReader
 {
-    std::string instanceName;
-    bool registered = false;
-    bool countedOnce = false; // instances were listed
-    bool countedTwice = false;
+    StoreReaderSettings settings;
     RandomState random;
-    std::array<KindReader, static_cast<std::size_t>(ObjectKind::Count)> kinds;
+    ObjectCache cache;
+    std::array<ChannelState, storeChannels> channels;
+    std::optional<std::size_t> seed; // that is watched; the store if absent
+    std::size_t failedSeeds = 0; // in a row
+    TimePoint storeUntil = {}; // the store is watched until then, after all seeds have failed
+    std::optional<TimePoint> failedAt; // latest failure of a call to the store
+    std::optional<TimePoint> provedAt; // start of the latest call that the store has answered
+    std::optional<TimePoint> askedAt; // latest call of another instance
+    bool stateRead = false; // all kinds that requests depend on
 };
 
 // Starts the first calls.
-auto startReading(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
-        -> void;
+auto startReading(StoreReader &reader, const StoreReaderSettings &settings, TimePoint now,
+                  std::vector<StoreReaderAction> &actions) -> void;
 
 auto handle(StoreReader &reader, const StoreEvent &event, TimePoint now,
             std::vector<StoreReaderAction> &actions) -> void;
@@ -173,4 +191,10 @@
 // True once every kind that requests depend on was read whole.
 auto hasRead(const StoreReader &reader) -> bool;
 
+// Another instance reads from this one: word from the store is sought often from now on.
+auto noteAsked(StoreReader &reader, TimePoint now) -> void;
+
+// How long ago the store has last answered a call; for other instances.
+auto storeAge(const StoreReader &reader, TimePoint now) -> std::optional<Duration>;
+
 } // namespace crocusreach::forward
--- a/runtime/forwardtask.cpp
+++ b/front/forwardtask.cpp
@@ -1,6 +1,6 @@
 #include "forwardtask.h"
 
-#include "clock.h"
+#include "base/clock.h"
 
 namespace crocusreach {
 
--- a/runtime/front.cpp
+++ b/front/front.cpp
@@ -1,7 +1,7 @@
 #include "front.h"
 
-#include "clock.h"
-#include "log.h"
+#include "base/clock.h"
+#include "base/log.h"
 
 #include <algorithm>
 
@@ -78,11 +78,17 @@
               [this](ForwardEvent &&event) { this->forwarder.post(std::move(event)); })
     , leafs(this->reactor, this->codec,
             [this](ForwardEvent &&event) { this->forwarder.post(std::move(event)); })
-    , store(this->reactor, this->codec, settings.instance,
-            [this](auto &&content) {
-                std::visit([this](auto &&item) { this->take(std::forward<decltype(item)>(item)); },
-                           std::forward<decltype(content)>(content));
-            })
+    , store(
+              this->reactor, this->codec,
+              [this](auto &&content) {
+                  std::visit(
+                          [this](auto &&item) { this->take(std::forward<decltype(item)>(item)); },
+                          std::forward<decltype(content)>(content));
+              },
+              [this] { this->seed.objectsChanged(); })
+    , seed(this->reactor, this->codec,
+           {[this]() -> const StoreReader & { return this->store.state(); },
+            [this] { this->store.asked(); }})
     , readyListener(this->reactor,
                     {[this](CallerId caller, HttpMessage &&request) {
                          this->answerAdmin(caller, request, this->readyListener);
@@ -104,7 +110,7 @@
     if (failed(opened))
         return std::get<Error>(opened);
     logEvent(LogEvent::InstanceStarted, {{"instance", settings.instance}});
-    front->store.setAddress(settings.storeAddress);
+    front->readFrom(settings);
     return front;
 }
 
@@ -122,6 +128,12 @@
     if (failed(ready))
         return std::get<Error>(ready);
     log("ready", ready);
+    if (!settings.seedAddress.empty()) {
+        const auto seedOpened = this->seed.open(settings.seedAddress);
+        if (failed(seedOpened))
+            return std::get<Error>(seedOpened);
+        log("seed", seedOpened);
+    }
     if (settings.adminAddress.empty())
         return Done();
     const auto admin = this->adminListener.open(settings.adminAddress);
@@ -136,7 +148,15 @@
     logEvent(LogEvent::SettingsReloaded, {{"instance", settings.instance}});
     this->lifecycle.settings = settings.lifecycle;
     this->forwarder.post(SettingsChanged{settings.forwarder});
-    this->store.setAddress(settings.storeAddress);
+    this->readFrom(settings);
+}
+
+auto Front::readFrom(const FrontSettings &settings) -> void
+{
+    auto reading = StoreReaderSettings{settings.instance, settings.seeds, false};
+    const auto own = std::erase(reading.seeds, settings.seedAddress);
+    reading.isSeed = own != 0;
+    this->store.configure(reading, settings.storeAddress);
 }
 
 auto Front::perform(ForwardAction &&action) -> void
@@ -175,11 +195,19 @@
 
 auto Front::take(const StoreNotification &notification) -> void
 {
-    const auto kind = std::string(toString(notification.kind));
-    if (notification.notice == StoreNotice::Regained)
-        return logEvent(LogEvent::StoreReachable, {{"kind", kind}});
-    logEvent(LogEvent::StoreUnreachable,
-             {{"kind", kind}, {"failure", std::string(toString(*notification.failure))}});
+    const auto source = notification.source.empty() ? std::string("store") : notification.source;
+    const auto channel = std::string(toString(notification.channel));
+    switch (notification.notice) {
+    case StoreNotice::Lost:
+        return logEvent(LogEvent::StoreUnreachable,
+                        {{"source", source},
+                         {"channel", channel},
+                         {"failure", std::string(toString(*notification.failure))}});
+    case StoreNotice::Regained:
+        return logEvent(LogEvent::StoreReachable, {{"source", source}, {"channel", channel}});
+    case StoreNotice::SourceChanged:
+        return logEvent(LogEvent::SourceChanged, {{"source", source}});
+    }
 }
 
 auto Front::take(const ObjectRejected &rejected) -> void
--- a/runtime/front.h
+++ b/front/front.h
@@ -9,6 +9,7 @@
 #include "httplistener.h"
 #include "leaftask.h"
 #include "reactor.h"
+#include "seedtask.h"
 #include "storereadertask.h"
 
 #include <functional>
@@ -47,6 +48,7 @@
     auto take(const forward::StoreNotification &notification) -> void;
     auto take(const forward::ObjectRejected &rejected) -> void;
     auto answerAdmin(CallerId caller, const HttpMessage &request, HttpListener &listener) -> void;
+    auto readFrom(const FrontSettings &settings) -> void;
     auto ready() -> bool;
     auto checkStop() -> void;
 
@@ -62,6 +64,7 @@
     CallerTask callers;
     LeafTask leafs;
     StoreReaderTask store;
+    SeedTask seed;
     HttpListener readyListener;
     HttpListener adminListener;
 };
--- a/runtime/frontcodec.h
+++ b/front/frontcodec.h
@@ -6,6 +6,8 @@
 #include "httpmessage.h"
 
 #include <functional>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -41,8 +43,15 @@
     // Whether a leaf's response belongs to the request with this id.
     std::function<auto(const HttpMessage &, std::string_view)->bool> belongs;
     std::function<auto(const forward::StoreRequest &)->StoreHttpRequest> writeStoreRequest;
-    std::function<auto(const forward::StoreRequest &, const HttpMessage &)->forward::StoreEvent>
+    std::function<auto(const forward::StoreRequest &, const HttpMessage &)
+                          ->forward::StoreReplyContent>
             readStoreReply;
+    // Calls of other instances to this one, which are encoded like those to the store.
+    std::function<auto(const HttpMessage &)->std::optional<forward::StoreRequest>> readObjectCall;
+    std::function<auto(std::span<const forward::StoredObject *const>, std::uint64_t)->std::string>
+            writeObjectList;
+    std::function<auto(std::span<const forward::StoredObject *const>, std::uint64_t)->std::string>
+            writeObjectChanges;
     std::string readyTarget; // path at which the balancer asks
 };
 
--- a/runtime/frontsettings.h
+++ b/front/frontsettings.h
@@ -4,6 +4,7 @@
 #include "core/lifecycle.h"
 
 #include <string>
+#include <vector>
 
 // What a front is told at its start, and again whenever its settings change.
 
@@ -16,6 +17,8 @@
     std::string readyAddress; // where the balancer asks
     std::string adminAddress; // metrics; empty: none
     std::string storeAddress;
+    std::string seedAddress; // where other instances read the store's objects; empty: nowhere
+    std::vector<std::string> seeds; // addresses of the instances that watch the store for others
     forward::LifecycleSettings lifecycle;
     forward::ForwarderSettings forwarder;
 };
--- a/runtime/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -1,6 +1,6 @@
 #include "httplistener.h"
 
-#include "clock.h"
+#include "base/clock.h"
 
 #include <sys/socket.h>
 
--- a/runtime/reactor.cpp
+++ b/front/reactor.cpp
@@ -1,6 +1,6 @@
 #include "reactor.h"
 
-#include "clock.h"
+#include "base/clock.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
--- a/runtime/reactor.h
+++ b/front/reactor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/types.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 
 #include <glib.h>
 
--- /dev/null
+++ b/front/seedtask.cpp
@@ -0,0 +1,125 @@
+#include "seedtask.h"
+
+#include "base/clock.h"
+
+#include <algorithm>
+
+namespace crocusreach {
+
+using namespace forward;
+
+namespace {
+
+// A list call waits this long for an instance that is still reading.
+constexpr Duration listWait = std::chrono::milliseconds(250);
+
+auto kindOf(const StoreRequest &request) -> ObjectKind
+{
+    if (const auto *const list = std::get_if<ListObjects>(&request))
+        return list->kind;
+    return std::get<WatchObjects>(request).kind;
+}
+
+auto waitOf(const StoreRequest &request) -> Duration
+{
+    const auto *const watch = std::get_if<WatchObjects>(&request);
+    return watch == nullptr ? listWait : watch->wait;
+}
+
+} // namespace
+
+SeedTask::SeedTask(Reactor &reactor, const FrontCodec &codec, Source source)
+    : codec(codec)
+    , source(std::move(source))
+    , listener(reactor,
+               {[this](CallerId caller, HttpMessage &&message) { this->onCall(caller, message); },
+                [this](CallerId caller) {
+                    std::erase_if(this->waiting, [caller](const WaitingCall &call) {
+                        return call.caller == caller;
+                    });
+                }})
+{
+    reactor.addTimer([this] { return this->nextEnd(); }, [this] { this->checkTimes(); });
+}
+
+auto SeedTask::open(std::string_view address) -> Result<std::string>
+{
+    return this->listener.open(address);
+}
+
+auto SeedTask::onCall(CallerId caller, const HttpMessage &message) -> void
+{
+    auto request = this->codec.readObjectCall(message);
+    if (!request)
+        return this->respond(caller, HTTP_STATUS_NOT_FOUND, {});
+    this->source.asked();
+    auto call = WaitingCall{caller, std::move(*request), {}};
+    call.until = decisionNow() + waitOf(call.request);
+    if (!this->tryAnswer(call, false))
+        this->waiting.push_back(std::move(call));
+}
+
+// Returns whether the call was answered. The last time, it is in any case.
+auto SeedTask::tryAnswer(const WaitingCall &call, bool last) -> bool
+{
+    const auto &cache = this->source.reader().cache.kinds.at(
+            static_cast<std::size_t>(kindOf(call.request)));
+    if (!cache.complete) {
+        if (last)
+            this->respond(call.caller, HTTP_STATUS_SERVICE_UNAVAILABLE, {});
+        return last;
+    }
+    const auto *const watch = std::get_if<WatchObjects>(&call.request);
+    if (watch == nullptr) {
+        this->respond(call.caller, HTTP_STATUS_OK,
+                      this->codec.writeObjectList(liveObjects(cache), cache.revision));
+        return true;
+    }
+    if (watch->revision < cache.keptSince) {
+        this->respond(call.caller, HTTP_STATUS_GONE, {});
+        return true;
+    }
+    const auto changes = changesAfter(cache, watch->revision);
+    if (changes.empty() && !last)
+        return false;
+    this->respond(call.caller, HTTP_STATUS_OK,
+                  this->codec.writeObjectChanges(changes, cache.revision));
+    return true;
+}
+
+auto SeedTask::respond(CallerId caller, std::uint32_t status, std::string_view body) -> void
+{
+    const auto age = storeAge(this->source.reader(), decisionNow());
+    auto headers = std::vector<HttpHeader>();
+    if (age) {
+        const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age).count();
+        headers.push_back({std::string(storeAgeHeader), std::to_string(whole)});
+    }
+    this->listener.respond(caller, status, headers, body);
+}
+
+auto SeedTask::objectsChanged() -> void
+{
+    std::erase_if(this->waiting,
+                  [this](const WaitingCall &call) { return this->tryAnswer(call, false); });
+}
+
+auto SeedTask::nextEnd() const -> std::optional<TimePoint>
+{
+    const auto first = std::min_element(
+            this->waiting.begin(), this->waiting.end(),
+            [](const WaitingCall &left, const WaitingCall &right) {
+                return left.until < right.until;
+            });
+    return first == this->waiting.end() ? std::nullopt : std::optional(first->until);
+}
+
+auto SeedTask::checkTimes() -> void
+{
+    const auto now = decisionNow();
+    std::erase_if(this->waiting, [&](const WaitingCall &call) {
+        return call.until <= now && this->tryAnswer(call, true);
+    });
+}
+
+} // namespace crocusreach
--- a/runtime/storereadertask.h
+++ b/front/storereadertask.h
@@ -24,39 +24,48 @@
                                                    forward::ObjectRejected> &&)
                                          ->void>;
 
-    StoreReaderTask(Reactor &reactor, const FrontCodec &codec, std::string instanceName,
-                    Outlet outlet);
+    // The second function is called whenever objects may have changed.
+    StoreReaderTask(Reactor &reactor, const FrontCodec &codec, Outlet outlet,
+                    std::function<auto()->void> onChanged);
 
-    // Starts reading; a later call only changes the address of new connections.
-    auto setAddress(std::string newAddress) -> void;
+    // Starts reading, or takes in changed settings.
+    auto configure(const forward::StoreReaderSettings &settings, std::string newAddress) -> void;
+    // Another instance has read from this one.
+    auto asked() -> void;
     auto state() const -> const forward::StoreReader & { return this->reader; }
-    // Calls by their outcome, for the metrics.
+    // Calls to the store since the start, for the metrics.
     auto callCount() const -> std::uint64_t { return this->calls; }
 
 private:
-    // The connection of one kind of object, and the call that runs on it.
-    struct Channel
+    // The connection of one channel, and the call that runs on it.
+    struct Line
     {
         std::uint64_t link = 0; // 0: none is open
+        std::string address; // of the other end
         std::optional<forward::StoreRequest> request;
         std::optional<TimePoint> endAt; // without a reply by then, the call has failed
     };
 
-    auto call(forward::StoreRequest &&request) -> void;
+    auto call(forward::StoreCall &&call) -> void;
+    auto abandonObjectCalls() -> void;
+    auto reply(const Line &line, forward::StoreReplyContent content,
+               std::optional<Duration> storeAge) -> void;
     auto take(const forward::StoreEvent &event) -> void;
     auto perform(std::vector<forward::StoreReaderAction> &actions) -> void;
     auto onAnswered(std::uint64_t link, const HttpMessage &response, bool usable) -> void;
     auto onClosed(std::uint64_t link) -> void;
-    auto channelOf(std::uint64_t link) -> Channel *;
+    auto lineOf(std::uint64_t link) -> Line *;
     auto checkTimes() -> void;
     auto nextEnd() const -> std::optional<TimePoint>;
 
     Reactor &reactor;
     const FrontCodec &codec;
     Outlet outlet;
-    std::string address;
+    std::function<auto()->void> onChanged;
+    std::string address; // of the store
     forward::StoreReader reader;
-    std::array<Channel, static_cast<std::size_t>(forward::ObjectKind::Count)> channels;
+    bool started = false;
+    std::array<Line, forward::storeChannels> lines;
     std::uint64_t lastLink = 0;
     std::uint64_t calls = 0;
     HttpLinks links;
--- a/instance/frontmain.cpp
+++ b/instance/frontmain.cpp
@@ -3,8 +3,8 @@
 #include "exitcode.h"
 #include "platform/codec.h"
 #include "platform/settings.h"
-#include "runtime/front.h"
-#include "runtime/log.h"
+#include "front/front.h"
+#include "base/log.h"
 
 #include <glib-unix.h>
 
--- a/instance/main.cpp
+++ b/instance/main.cpp
@@ -1,19 +1,12 @@
-#include "core/invariants.h"
+#include "cellmain.h"
 #include "exitcode.h"
-#include "formats/settings.h"
 #include "frontmain.h"
-#include "runtime/instance.h"
-#include "runtime/log.h"
 
 #include <gflags/gflags.h>
-#include <glib-unix.h>
 
 #include <algorithm>
-#include <csignal>
-#include <fstream>
 #include <iostream>
 #include <span>
-#include <sstream>
 #include <string_view>
 
 // The binary crocusreach: one instance until SIGTERM.
@@ -57,73 +50,6 @@
     return std::any_of(arguments.begin(), arguments.end(), isHelp);
 }
 
-auto readSettings(const std::string &path) -> Result<Settings>
-{
-    auto file = std::ifstream(path, std::ios::binary);
-    auto text = std::ostringstream();
-    text << file.rdbuf();
-    if (!file)
-        return Error{Step::Settings, path, "the file can't be read"};
-    return parseSettings(text.str(), path);
-}
-
-auto logViolation(Invariant invariant, std::string_view detail) -> void
-{
-    logEvent(LogEvent::InvariantViolated,
-             {{"invariant", std::string(toString(invariant))}, {"detail", std::string(detail)}});
-}
-
-// What the signal handlers act on. It belongs to the main thread.
-struct Running
-{
-    GMainLoop *loop = nullptr;
-    Instance *instance = nullptr;
-    bool stopping = false;
-    int exitCode = Success;
-};
-
-auto onTerminate(gpointer data) -> gboolean
-{
-    auto &running = *static_cast<Running *>(data);
-    const auto end = [&running](int exitCode) {
-        running.exitCode = exitCode;
-        g_main_loop_quit(running.loop);
-    };
-    if (std::exchange(running.stopping, true)) {
-        end(StoppedEarly);
-        return G_SOURCE_CONTINUE;
-    }
-    running.instance->beginStop([end](StopResult result) {
-        end(result == StopResult::Completed ? Success : StoppedEarly);
-    });
-    return G_SOURCE_CONTINUE;
-}
-
-auto run(const Settings &settings) -> int
-{
-    startLog(severityFromString(settings.logLevel), std::clog);
-    setViolationHandler(&logViolation);
-    auto started = Instance::start(settings, CROCUSREACH_VERSION);
-    if (failed(started)) {
-        const auto text = describe(std::get<Error>(started));
-        logEvent(LogEvent::StartFailed, {{"error", text}});
-        stopLog();
-        std::cerr << text << '\n';
-        return std::get<Error>(started).step == Step::Settings ? BadUsage : Failure;
-    }
-    auto instance = std::get<std::unique_ptr<Instance>>(std::move(started));
-    auto running = Running{g_main_loop_new(nullptr, FALSE), instance.get()};
-    const auto terminate = g_unix_signal_add(SIGTERM, &onTerminate, &running);
-    const auto interrupt = g_unix_signal_add(SIGINT, &onTerminate, &running);
-    g_main_loop_run(running.loop);
-    g_source_remove(terminate);
-    g_source_remove(interrupt);
-    g_main_loop_unref(running.loop);
-    instance.reset();
-    stopLog();
-    return running.exitCode;
-}
-
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -140,12 +66,5 @@
         std::cerr << "usage: crocusreach --settings FILE [--check-settings]\n";
         return BadUsage;
     }
-    const auto settings = readSettings(FLAGS_settings);
-    if (failed(settings)) {
-        std::cerr << describe(std::get<Error>(settings)) << '\n';
-        return BadUsage;
-    }
-    if (FLAGS_check_settings)
-        return Success;
-    return run(std::get<Settings>(settings));
+    return runCell(FLAGS_settings, FLAGS_check_settings);
 }
--- a/runtime/adminserver.cpp
+++ b/runtime/adminserver.cpp
@@ -1,7 +1,7 @@
 #include "adminserver.h"
 
 #include "adminanswers.h"
-#include "clock.h"
+#include "base/clock.h"
 #include "formats/adminmessages.h"
 #include "formats/configurationjson.h"
 #include "httplisten.h"
--- a/runtime/adminserver.h
+++ b/runtime/adminserver.h
@@ -5,7 +5,7 @@
 #include "admintask.h"
 #include "core/administration.h"
 #include "gobject.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 #include "objectapi.h"
 
 #include <libsoup/soup.h>
--- a/runtime/admintask.h
+++ b/runtime/admintask.h
@@ -4,7 +4,7 @@
 #include "core/dispatch.h"
 #include "core/types.h"
 #include "formats/settings.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 #include "objectapi.h"
 
 #include <functional>
--- a/runtime/coretask.h
+++ b/runtime/coretask.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "clock.h"
+#include "base/clock.h"
 #include "core/types.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 
 #include <functional>
 #include <optional>
--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -1,9 +1,9 @@
 #include "instance.h"
 
-#include "clock.h"
+#include "base/clock.h"
 #include "core/diagnosis.h"
 #include "core/invariants.h"
-#include "log.h"
+#include "base/log.h"
 
 #include "formats/configurationjson.h"
 
--- a/runtime/peertask.cpp
+++ b/runtime/peertask.cpp
@@ -1,7 +1,7 @@
 #include "peertask.h"
 
-#include "clock.h"
-#include "log.h"
+#include "base/clock.h"
+#include "base/log.h"
 
 namespace crocusreach {
 
--- a/runtime/peertask.h
+++ b/runtime/peertask.h
@@ -4,7 +4,7 @@
 #include "core/control.h"
 #include "core/dispatch.h"
 #include "core/query.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 #include "peerlink.h"
 
 #include <grpcpp/grpcpp.h>
--- a/runtime/storetask.cpp
+++ b/runtime/storetask.cpp
@@ -1,6 +1,6 @@
 #include "storetask.h"
 
-#include "clock.h"
+#include "base/clock.h"
 
 #include <nlohmann/json.hpp>
 
--- a/runtime/storetask.h
+++ b/runtime/storetask.h
@@ -3,7 +3,7 @@
 #include "core/control.h"
 #include "embeddedstore.h"
 #include "gobject.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 #include "objectapi.h"
 
 #include <libsoup/soup.h>
--- a/runtime/targettask.cpp
+++ b/runtime/targettask.cpp
@@ -1,6 +1,6 @@
 #include "targettask.h"
 
-#include "clock.h"
+#include "base/clock.h"
 #include "targetreply.h"
 
 #include <netinet/in.h>
--- a/runtime/targettask.h
+++ b/runtime/targettask.h
@@ -2,7 +2,7 @@
 
 #include "core/dispatch.h"
 #include "gobject.h"
-#include "mailbox.h"
+#include "base/mailbox.h"
 
 #include <libsoup/soup.h>
 
--- a/tests/adminfixture.h
+++ b/tests/adminfixture.h
@@ -2,7 +2,7 @@
 
 #include "formats/configurationjson.h"
 #include "runtime/admintask.h"
-#include "runtime/clock.h"
+#include "base/clock.h"
 #include "runtime/embeddedstore.h"
 
 #include <fstream>
--- a/tests/runtime_log.cpp
+++ b/tests/runtime_log.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "runtime/log.h"
+#include "base/log.h"
 
 #include <fstream>
 #include <set>
