Test the forwarder's decisions and count the repeat budget exactly

Change: repeats are kept one bucket longer, and three quarters of the budget are used. An instance that returns from the store to a seed does so at its time, without a call to the store that is abandoned at once.

--- a/base/log.cpp
+++ b/base/log.cpp
@@ -16,7 +16,10 @@
 #include <array>
 #include <atomic>
 #include <ctime>
+#include <mutex>
+#include <optional>
 #include <ostream>
+#include <utility>
 
 namespace crocusreach {
 
@@ -82,7 +85,13 @@
         {LogEvent::PeerMessageInvalid, "peer_message_invalid", Severity::Error,
          "a message of a peer can't be read and was dropped"},
         {LogEvent::RequestEnded, "request_ended", Severity::Info,
-         "a caller's request was answered, or its caller has left"},
+         "a caller's request got its whole answer in time"},
+        {LogEvent::RequestDegraded, "request_degraded", Severity::Warning,
+         "a caller's request was answered late, in part or with a failure, or its caller has left"},
+        {LogEvent::RequestRejected, "request_rejected", Severity::Warning,
+         "a caller's request can't be read or forwarded"},
+        {LogEvent::SendRepeated, "send_repeated", Severity::Info,
+         "a request is sent to a further leaf"},
         {LogEvent::InvariantViolated, "invariant_violated", Severity::Error,
          "a guaranteed property was violated"},
 });
@@ -143,6 +152,35 @@
     return std::string(text.data()) + "." + fraction.substr(1) + "Z";
 }
 
+// Lines of one event in the current second.
+struct LineCount
+{
+    std::int64_t second = 0;
+    std::uint32_t written = 0;
+    std::uint32_t leftOut = 0; // since the last line that was written
+};
+
+std::mutex countMutex;
+std::array<LineCount, events.size()> lineCounts; // guarded by countMutex
+
+// Counts a line. Returns how many were left out before it, or nothing if it is to be left out too.
+auto admitLine(LogEvent event) -> std::optional<std::uint32_t>
+{
+    const auto index = static_cast<std::size_t>(&infoOf(event) - events.data());
+    const auto second
+            = std::chrono::duration_cast<std::chrono::seconds>(wallNow().time_since_epoch()).count();
+    const auto lock = std::lock_guard(countMutex);
+    auto &count = lineCounts.at(index);
+    if (second != count.second)
+        count = {second, 0, count.leftOut};
+    if (count.written >= linesPerSecond) {
+        ++count.leftOut;
+        return {};
+    }
+    ++count.written;
+    return std::exchange(count.leftOut, 0);
+}
+
 std::atomic<Severity> leastSeverity = Severity::Info;
 boost::shared_ptr<Sink> activeSink;
 
@@ -214,9 +252,13 @@
 {
     if (activeSink == nullptr || infoOf(event).severity < leastSeverity.load())
         return;
+    const auto leftOut = admitLine(event);
+    if (!leftOut)
+        return;
     auto logger = boost::log::sources::logger();
-    const auto line
-            = "time=" + timeText() + " " + formatLogLine(event, {fields.begin(), fields.size()});
+    auto line = "time=" + timeText() + " " + formatLogLine(event, {fields.begin(), fields.size()});
+    if (*leftOut != 0)
+        line.append(" left_out=").append(std::to_string(*leftOut));
     BOOST_LOG(logger) << line;
 }
 
--- a/base/log.h
+++ b/base/log.h
@@ -45,6 +45,9 @@
     PeerLinkSilent = 302,
     PeerMessageInvalid = 303,
     RequestEnded = 400,
+    RequestDegraded = 401,
+    RequestRejected = 402,
+    SendRepeated = 403,
     InvariantViolated = 900,
 };
 
@@ -79,6 +82,10 @@
 // Writes what is queued and ends the thread.
 auto stopLog() -> void;
 
+// Lines of one event that are written in one second. Further ones are left out and counted; the
+// next line that is written tells their number. The first of a second always is.
+constexpr std::uint32_t linesPerSecond = 40;
+
 auto logEvent(LogEvent event, std::initializer_list<LogField> fields = {}) -> void;
 
 } // namespace crocusreach
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -335,9 +335,37 @@
         ++counters.misdirected;
 }
 
+auto toReason(LeafAnswerKind kind) -> RepeatReason
+{
+    switch (kind) {
+    case LeafAnswerKind::NotRun:
+        return RepeatReason::NotRun;
+    case LeafAnswerKind::OtherLeaf:
+        return RepeatReason::OtherLeaf;
+    case LeafAnswerKind::Success:
+    case LeafAnswerKind::Failure:
+        break;
+    }
+    return RepeatReason::Failure;
+}
+
+auto toReason(SendFailure failure) -> RepeatReason
+{
+    switch (failure) {
+    case SendFailure::NotSent:
+        return RepeatReason::NotSent;
+    case SendFailure::Lost:
+        return RepeatReason::Lost;
+    case SendFailure::Invalid:
+        break;
+    }
+    return RepeatReason::Invalid;
+}
+
 // Takes a failed send into its part. The part is retried if that is allowed.
-auto failPart(const Call &call, Part &part, bool mayHaveRun) -> void
+auto failPart(const Call &call, Part &part, RepeatReason reason, bool mayHaveRun) -> void
 {
+    part.failure = reason;
     part.mayHaveRun = part.mayHaveRun || mayHaveRun;
     if (!part.running.empty())
         return;
@@ -359,7 +387,7 @@
     }
     if (answer.kind == LeafAnswerKind::Failure)
         part.answer = answer;
-    failPart(call, part, answer.kind == LeafAnswerKind::Failure);
+    failPart(call, part, toReason(answer.kind), answer.kind == LeafAnswerKind::Failure);
 }
 
 auto take(Forwarder &forwarder, const LeafAnswered &event, TimePoint now,
@@ -406,7 +434,8 @@
     if (call != forwarder.calls.end()) {
         auto &part = call->second->parts[send.part];
         if (part.state == PartState::Open)
-            failPart(*call->second, part, event.failure != SendFailure::NotSent);
+            failPart(*call->second, part, toReason(event.failure),
+                     event.failure != SendFailure::NotSent);
         advance(forwarder, *call->second, now, actions);
     }
     advanceWaiting(forwarder, now, actions);
--- a/core/forwardmessages.cpp
+++ b/core/forwardmessages.cpp
@@ -14,4 +14,11 @@
     return names.at(static_cast<std::size_t>(end));
 }
 
+auto toString(RepeatReason reason) -> std::string_view
+{
+    static constexpr auto names = std::to_array<std::string_view>(
+            {"slow", "not_run", "other_leaf", "failure", "lost", "invalid", "not_sent"});
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 } // namespace crocusreach::forward
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -260,6 +260,21 @@
     CallSummary summary;
 };
 
-using ForwardAction = std::variant<SendToLeaf, CloseLink, AnswerCaller, CallEnded>;
+// Why a part of a call is sent once more.
+enum class RepeatReason : std::uint8_t { Slow, NotRun, OtherLeaf, Failure, Lost, Invalid, NotSent };
+
+auto toString(RepeatReason reason) -> std::string_view;
+
+struct SendRepeated
+{
+    std::string requestId;
+    std::string service;
+    RepeatReason reason = RepeatReason::Slow;
+    std::string formerLeaf;
+    std::string leaf;
+    Duration spent = {}; // since the request's arrival
+};
+
+using ForwardAction = std::variant<SendToLeaf, CloseLink, AnswerCaller, CallEnded, SendRepeated>;
 
 } // namespace crocusreach::forward
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -82,6 +82,20 @@
     forwarder.sends.emplace(send.id, send);
 }
 
+auto noteRepeat(Forwarder &forwarder, const Call &call, const Part &part, RepeatReason reason,
+                const Placement &placement, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    auto repeated = SendRepeated();
+    repeated.requestId = call.request->id;
+    repeated.service = part.service;
+    repeated.reason = reason;
+    repeated.formerLeaf = leafAt(forwarder.leafs, part.tried.back()).record.id;
+    repeated.leaf = leafAt(forwarder.leafs, placement.leaf).record.id;
+    repeated.spent = now - call.arrivedAt;
+    actions.emplace_back(std::move(repeated));
+}
+
 auto sendFirst(Forwarder &forwarder, Call &call, std::size_t partNumber, TimePoint now,
                std::vector<ForwardAction> &actions) -> void
 {
@@ -135,6 +149,7 @@
     }
     ++call.retries;
     ++forwarder.counters.retries;
+    noteRepeat(forwarder, call, part, part.failure, *placement, now, actions);
     startSend(forwarder, call, partNumber, *placement, now, actions);
 }
 
@@ -156,6 +171,7 @@
     }
     ++call.hedges;
     ++forwarder.counters.hedges;
+    noteRepeat(forwarder, call, part, RepeatReason::Slow, *placement, now, actions);
     startSend(forwarder, call, partNumber, *placement, now, actions);
 }
 
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -31,6 +31,7 @@
     TimePoint hedgeAt = TimePoint::max();
     bool mayHaveRun = false; // a send ended without proof that it did not run
     bool doubtful = false; // the latest send went to a leaf that stands still or failed lately
+    RepeatReason failure = RepeatReason::Failure; // of the latest send that failed
     CallEnd lostBy = CallEnd::TooFewShards; // why it was given up
     LeafAnswer answer; // valid if answered; otherwise the latest failure, if it has a status
 };
--- a/core/repeatbudget.cpp
+++ b/core/repeatbudget.cpp
@@ -7,45 +7,53 @@
 
 namespace {
 
-// Of the stated ratio and slack. The rest covers requests that are counted at other times than
-// here, since a repeat may arrive in a later window than its request.
-constexpr double usedShare = 0.85;
+// Of the stated ratio and slack. The rest covers windows that hold fewer requests than the one that
+// justified their repeats: where traffic ends within a window, a quarter of it may lie outside.
+constexpr double usedShare = 0.75;
 // Of the instance's own budget, the part that hedges may use.
-constexpr double hedgeShare = 0.8;
+constexpr double hedgeShare = 0.85;
 
-auto advance(RepeatBudget &budget, const RepeatLimits &limits, TimePoint now) -> std::size_t
+// Counts in rings, each bucket at its position modulo the ring's size.
+template <std::size_t size>
+auto bucketAt(std::array<std::uint32_t, size> &ring, std::int64_t position) -> std::uint32_t &
+{
+    return ring.at(static_cast<std::size_t>(position) % size);
+}
+
+// Empties the buckets that lie outside the window as of now.
+auto advance(RepeatBudget &budget, const RepeatLimits &limits, TimePoint now) -> void
 {
     const auto width = limits.window / static_cast<std::int64_t>(budgetBuckets);
     const auto position = now.time_since_epoch() / width;
-    const auto steps = std::clamp<std::int64_t>(position - budget.position, 0, budgetBuckets);
-    for (std::int64_t step = 1; step <= steps; ++step) {
-        const auto index = static_cast<std::size_t>(budget.position + step) % budgetBuckets;
-        budget.requestSum -= std::exchange(budget.requests.at(index), 0);
-        budget.repeatSum -= std::exchange(budget.repeats.at(index), 0);
+    const auto most = static_cast<std::int64_t>(budgetBuckets + 1);
+    const auto first = std::max(budget.position + 1, position - most + 1);
+    for (auto bucket = first; bucket <= position; ++bucket) {
+        budget.requestSum -= std::exchange(bucketAt(budget.requests, bucket), 0);
+        budget.repeatSum -= std::exchange(bucketAt(budget.repeats, bucket), 0);
     }
     budget.position = std::max(position, budget.position);
-    return static_cast<std::size_t>(budget.position) % budgetBuckets;
 }
 
 } // namespace
 
 auto noteRequest(RepeatBudget &budget, const RepeatLimits &limits, TimePoint now) -> void
 {
-    ++budget.requests.at(advance(budget, limits, now));
+    advance(budget, limits, now);
+    ++bucketAt(budget.requests, budget.position);
     ++budget.requestSum;
 }
 
 auto tryRepeat(RepeatBudget &budget, const RepeatLimits &limits, RepeatUse use,
                std::uint32_t instances, TimePoint now) -> bool
 {
-    const auto index = advance(budget, limits, now);
+    advance(budget, limits, now);
     const auto slack = limits.slack / std::max(1U, instances);
     auto allowed = usedShare * (limits.ratio * budget.requestSum + slack);
     if (use == RepeatUse::Hedge)
         allowed *= hedgeShare;
     if (budget.repeatSum + 1 > allowed)
         return false;
-    ++budget.repeats.at(index);
+    ++bucketAt(budget.repeats, budget.position);
     ++budget.repeatSum;
     return true;
 }
--- a/core/repeatbudget.h
+++ b/core/repeatbudget.h
@@ -21,11 +21,12 @@
 
 constexpr std::size_t budgetBuckets = 20;
 
-// Requests and repeats of the last window, in buckets of a twentieth of it.
+// Requests and repeats, in buckets of a twentieth of the window. Repeats are kept for one bucket
+// longer, so that they are counted for at least a window and requests for at most one.
 struct RepeatBudget
 {
     std::array<std::uint32_t, budgetBuckets> requests = {};
-    std::array<std::uint32_t, budgetBuckets> repeats = {};
+    std::array<std::uint32_t, budgetBuckets + 1> repeats = {};
     std::int64_t position = 0; // bucket of the latest time seen, counted from time zero
     std::uint32_t requestSum = 0;
     std::uint32_t repeatSum = 0;
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -306,7 +306,7 @@
     }
     publish(reader, static_cast<ObjectKind>(number), std::move(news), now, actions);
     if (!channel.listed || reader.seed || !mayFollow(reader))
-        startCall(reader, number, now, actions);
+        scheduleCall(channel, now);
     else if (static_cast<ObjectKind>(number) == ObjectKind::Instances)
         scheduleCall(channel, now + countDelay);
     else
@@ -326,10 +326,8 @@
     }
     cache.revision = std::max(cache.revision, changed.revision);
     publish(reader, static_cast<ObjectKind>(number), std::move(news), now, actions);
-    if (changed.objects.empty())
-        startCall(reader, number, now, actions);
-    else
-        scheduleCall(channelAt(reader, number), now + gatherTime);
+    // The next call is made in the next turn, so that it goes to the source chosen here.
+    scheduleCall(channelAt(reader, number), changed.objects.empty() ? now : now + gatherTime);
     considerSeeds(reader, now, actions);
 }
 
@@ -397,6 +395,7 @@
 auto take(StoreReader &reader, const StoreReaderTick & /*tick*/, TimePoint now,
           std::vector<StoreReaderAction> &actions) -> void
 {
+    considerSeeds(reader, now, actions);
     for (std::size_t number = 0; number < storeChannels; ++number) {
         auto &channel = channelAt(reader, number);
         if (!channel.callAt || now < *channel.callAt)
@@ -446,6 +445,8 @@
 auto nextWake(const StoreReader &reader) -> std::optional<TimePoint>
 {
     auto wake = std::optional<TimePoint>();
+    if (!reader.seed && mayFollow(reader) && reader.stateRead && isLarge(reader))
+        wake = reader.storeUntil;
     for (const auto &channel : reader.channels) {
         if (channel.callAt)
             wake = std::min(wake.value_or(TimePoint::max()), *channel.callAt);
--- a/front/callertask.cpp
+++ b/front/callertask.cpp
@@ -1,5 +1,7 @@
 #include "callertask.h"
 
+#include "base/log.h"
+
 #include <memory>
 
 namespace crocusreach {
@@ -26,6 +28,8 @@
 {
     auto request = this->codec.readRequest(std::move(message));
     if (const auto *const refusal = std::get_if<CallerResponse>(&request)) {
+        logEvent(LogEvent::RequestRejected, {{"status", std::to_string(refusal->status)},
+                                             {"reason", refusal->body}});
         this->listener.respond(caller, refusal->status, refusal->headers, refusal->body);
         return;
     }
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -20,7 +20,8 @@
 
 auto logEnd(const CallSummary &summary) -> void
 {
-    logEvent(LogEvent::RequestEnded,
+    const auto good = summary.end == CallEnd::Complete && !summary.late;
+    logEvent(good ? LogEvent::RequestEnded : LogEvent::RequestDegraded,
              {{"request", summary.requestId},
               {"end", std::string(toString(summary.end))},
               {"route", summary.route},
@@ -37,6 +38,16 @@
               {"leaf_age_ms", milliseconds(summary.leafAge)}});
 }
 
+auto logRepeat(const SendRepeated &repeated) -> void
+{
+    logEvent(LogEvent::SendRepeated, {{"request", repeated.requestId},
+                                      {"service", repeated.service},
+                                      {"reason", std::string(toString(repeated.reason))},
+                                      {"former_leaf", repeated.formerLeaf},
+                                      {"leaf", repeated.leaf},
+                                      {"spent_ms", milliseconds(repeated.spent)}});
+}
+
 auto logLeafs(const LeafsRegistered &event) -> void
 {
     for (const auto &leaf : event.leafs) {
@@ -167,7 +178,8 @@
                           [this](CallEnded &&ended) {
                               recordEnd(this->metrics, ended.summary);
                               logEnd(ended.summary);
-                          }},
+                          },
+                          [](const SendRepeated &repeated) { logRepeat(repeated); }},
                std::move(action));
 }
 
--- /dev/null
+++ b/tests/core_forwarder_parts.cpp
@@ -0,0 +1,357 @@
+#include <catch2/catch.hpp>
+
+#include "core/leaftable.h"
+#include "core/lifecycle.h"
+#include "core/objectcache.h"
+#include "core/placement.h"
+#include "core/records.h"
+#include "core/repeatbudget.h"
+#include "core/routetable.h"
+
+#include <array>
+#include <random>
+
+using namespace crocusreach;
+using namespace crocusreach::forward;
+using namespace std::chrono_literals;
+
+SCENARIO("a request finds its route")
+{
+    auto table = RouteTable();
+    const auto add = [&table](const char *name, const char *host, const char *prefix) {
+        auto route = Route();
+        route.name = name;
+        route.host = host;
+        route.pathPrefix = prefix;
+        table.routes.push_back(route);
+    };
+    add("root", "a.example", "/");
+    add("books", "a.example", "/books/");
+    add("old", "a.example", "/books/old/");
+    add("other", "b.example", "/books/");
+    indexRoutes(table);
+    THEN("the longest prefix of its host counts")
+    {
+        CHECK(findRoute(table, "a.example", "/books/old/1")->name == "old");
+        CHECK(findRoute(table, "a.example", "/books/1?x=/books/old/")->name == "books");
+        CHECK(findRoute(table, "a.example", "/bookshop")->name == "root");
+        CHECK(findRoute(table, "b.example", "/books/1")->name == "other");
+    }
+    THEN("case and port of the host don't matter")
+    {
+        CHECK(findRoute(table, "A.Example:8080", "/x")->name == "root");
+    }
+    THEN("without a match there is none")
+    {
+        CHECK(findRoute(table, "b.example", "/") == nullptr);
+        CHECK(findRoute(table, "c.example", "/") == nullptr);
+    }
+}
+
+SCENARIO("parts are merged to their greatest records")
+{
+    const auto record = [](char first) { return std::string(1, first) + std::string(15, '-'); };
+    const auto left = record('a') + record('z') + record('m') + "short";
+    const auto right = record('z') + record('\xff');
+    const auto parts = std::array<std::string_view, 2>{left, right};
+    THEN("bytes are compared as unsigned, equal records all count, remainders don't")
+    {
+        CHECK(mergeGreatest(parts, 3) == record('\xff') + record('z') + record('z'));
+    }
+    THEN("fewer records than asked for are all returned")
+    {
+        CHECK(mergeGreatest(parts, 50).size() == 5 * recordBytes);
+    }
+}
+
+SCENARIO("repeats keep to their budget")
+{
+    const auto limits = RepeatLimits{0.2, 20, 10s};
+    GIVEN("a hundred requests in one second")
+    {
+        auto budget = RepeatBudget();
+        auto now = TimePoint(1h);
+        for (auto number = 0; number < 100; ++number) {
+            now += 10ms;
+            noteRequest(budget, limits, now);
+        }
+        const auto used = [&](RepeatUse use) {
+            auto count = 0;
+            while (tryRepeat(budget, limits, use, 1, now))
+                ++count;
+            return count;
+        };
+        THEN("hedges leave a part for retries")
+        {
+            const auto hedges = used(RepeatUse::Hedge);
+            const auto retries = used(RepeatUse::Retry);
+            CHECK(hedges > 20);
+            CHECK(retries > 0);
+            CHECK(hedges + retries <= 40);
+        }
+        THEN("after the window, they no longer justify repeats")
+        {
+            now += 11s;
+            CHECK(used(RepeatUse::Retry) <= 20);
+        }
+        THEN("the slack is shared by all instances")
+        {
+            auto other = RepeatBudget();
+            CHECK_FALSE(tryRepeat(other, limits, RepeatUse::Retry, 20, now));
+        }
+    }
+}
+
+SCENARIO("the table of leafs follows the registry")
+{
+    auto table = LeafTable();
+    auto now = TimePoint(1h);
+    auto record = LeafRecord();
+    record.id = "i-1";
+    record.service = "ledger";
+    record.address = "10.0.0.1:80";
+    record.domain = "muar-a";
+    record.revision = 5;
+    record.startedAt = 1000;
+    putLeaf(table, record, now);
+    auto &leaf = leafAt(table, table.byId.at("i-1"));
+    REQUIRE(isUsable(table, leaf));
+    WHEN("an older entry comes late")
+    {
+        auto older = record;
+        older.revision = 4;
+        older.draining = true;
+        putLeaf(table, older, now);
+        THEN("it changes nothing")
+        {
+            CHECK(isUsable(table, leaf));
+        }
+    }
+    WHEN("it starts again under its id")
+    {
+        noteFailure(leaf, now);
+        leaf.misdirected = true;
+        auto restarted = record;
+        restarted.revision = 6;
+        restarted.startedAt = 2000;
+        restarted.coldLeft = 3s;
+        putLeaf(table, restarted, now);
+        THEN("what was seen of the former process is forgotten, and it is cold")
+        {
+            CHECK(isUsable(table, leaf));
+            CHECK(failureRateOf(leaf, now) == 0);
+            CHECK(leaf.coldUntil == now + 3s);
+        }
+    }
+    WHEN("it moves to another service")
+    {
+        auto moved = record;
+        moved.revision = 6;
+        moved.service = "archive";
+        putLeaf(table, moved, now);
+        THEN("the former service has no leaf left")
+        {
+            CHECK_FALSE(table.byService.contains("ledger"));
+            CHECK(table.byService.at("archive").size() == 1);
+        }
+    }
+    WHEN("it fails and then nothing is heard of it")
+    {
+        noteFailure(leaf, now);
+        const auto rate = failureRateOf(leaf, now);
+        THEN("the failure fades, so that it is tried again")
+        {
+            CHECK(rate > 0);
+            CHECK(failureRateOf(leaf, now + 20s) < rate / 10);
+        }
+    }
+}
+
+SCENARIO("a send is placed where it is likely to be answered first")
+{
+    auto table = LeafTable();
+    auto random = RandomState();
+    auto now = TimePoint(1h);
+    auto revision = std::uint64_t(0);
+    const auto add = [&](const std::string &id, const std::string &domain) -> LeafState & {
+        auto record = LeafRecord();
+        record.id = id;
+        record.service = "ledger";
+        record.address = id;
+        record.domain = domain;
+        record.slots = 3;
+        record.revision = ++revision;
+        putLeaf(table, record, now);
+        return leafAt(table, table.byId.at(id));
+    };
+    auto &near = add("near", "muar-a");
+    auto &far = add("far", "muar-b");
+    auto spec = ServiceSpec{"ledger", 30, 0};
+    auto share = InstanceShare{1, 1.5};
+    auto query = PlacementQuery{"ledger", &spec, "muar-a", 15ms, {}};
+    const auto chosen = [&]() -> std::string {
+        const auto placement = placeSend(table, query, share, random, now);
+        return placement ? leafAt(table, placement->leaf).record.id : std::string("none");
+    };
+    THEN("the own failure domain is preferred")
+    {
+        CHECK(chosen() == "near");
+    }
+    THEN("a leaf with an overdue answer is passed over")
+    {
+        near.outstanding.push_back({SendId(1), now - 60ms, now - 20ms});
+        CHECK(chosen() == "far");
+    }
+    THEN("a slow leaf is passed over until that is forgotten")
+    {
+        noteAnswer(near, 4.0, now);
+        noteAnswer(near, 4.0, now);
+        CHECK(chosen() == "far");
+        now += 60s;
+        CHECK(chosen() == "near");
+    }
+    THEN("a full leaf is passed over while its report is fresh")
+    {
+        near.load = {3, 9, 3};
+        near.loadAt = now;
+        CHECK(chosen() == "far");
+        now += 1s;
+        CHECK(chosen() == "near");
+    }
+    THEN("a leaf whose connections are all in use up to the limit is passed over")
+    {
+        share.instances = 27;
+        near.links.push_back({LinkId(1)});
+        CHECK(linkLimit(&spec, share) == 1);
+        CHECK(chosen() == "far");
+        far.links.push_back({LinkId(2)});
+        CHECK(chosen() == "none");
+    }
+    THEN("a connection that its leaf may be closing is not used")
+    {
+        near.links.push_back({LinkId(1), LinkState::Idle, now - 2s, 2s});
+        CHECK_FALSE(placeSend(table, query, share, random, now)->idleLink);
+        near.links.back().idleSince = now - 1s;
+        CHECK(placeSend(table, query, share, random, now)->idleLink == LinkId(1));
+    }
+    GIVEN("a cold leaf that tolerates ten requests a second, shared by two instances")
+    {
+        far.record.draining = true;
+        spec.coldRate = 10;
+        share.instances = 2;
+        near.coldUntil = now + 3s;
+        THEN("this instance sends it less than its half of what is borne")
+        {
+            auto sent = 0;
+            for (auto step = 0; step < 1000; ++step) {
+                sent += chosen() == "near" ? 1 : 0;
+                now += 1ms;
+            }
+            CHECK(sent >= 2);
+            CHECK(sent <= 7);
+        }
+    }
+}
+
+SCENARIO("objects from sources of different age are merged by revision")
+{
+    auto cache = KindCache();
+    const auto object = [](const char *name, std::uint64_t revision, bool deleted = false) {
+        auto made = StoredObject();
+        made.name = name;
+        made.revision = revision;
+        made.deleted = deleted;
+        return made;
+    };
+    cache.listing = {"a", "b"};
+    CHECK(takeObject(cache, object("a", 3), 10));
+    CHECK(takeObject(cache, object("b", 4), 10));
+    CHECK(finishList(cache, 10).empty());
+    WHEN("an object is deleted and an older source still has it")
+    {
+        CHECK(takeObject(cache, object("a", 3, true), 12));
+        THEN("it stays deleted")
+        {
+            // Guards against a leaf that comes back because another instance is behind.
+            CHECK_FALSE(takeObject(cache, object("a", 3), 9));
+            CHECK(liveObjects(cache).size() == 1);
+        }
+        THEN("made again, it is news")
+        {
+            CHECK(takeObject(cache, object("a", 13), 14));
+            CHECK(liveObjects(cache).size() == 2);
+        }
+        THEN("whoever knows less is told of the deletion")
+        {
+            const auto changes = changesAfter(cache, 10);
+            REQUIRE(changes.size() == 1);
+            CHECK(changes[0]->deleted);
+        }
+    }
+    WHEN("a later list lacks an object")
+    {
+        cache.listing = {"b"};
+        THEN("it is gone")
+        {
+            CHECK(finishList(cache, 20) == std::vector<std::string>{"a"});
+        }
+    }
+    WHEN("an older list lacks an object that is newer")
+    {
+        CHECK(takeObject(cache, object("c", 30), 30));
+        cache.listing = {"a", "b"};
+        THEN("it stays")
+        {
+            CHECK(finishList(cache, 20).empty());
+        }
+    }
+    WHEN("an older change comes late")
+    {
+        CHECK(takeObject(cache, object("a", 15), 15));
+        THEN("it is ignored")
+        {
+            CHECK_FALSE(takeObject(cache, object("a", 14), 14));
+        }
+    }
+}
+
+SCENARIO("an instance stops without cutting off a request")
+{
+    auto lifecycle = Lifecycle();
+    lifecycle.settings.grace = 6s;
+    auto now = TimePoint(1h);
+    THEN("it is ready once it can serve, and stays so")
+    {
+        CHECK_FALSE(isReady(lifecycle, false));
+        CHECK(isReady(lifecycle, true));
+        CHECK(isReady(lifecycle, false));
+    }
+    WHEN("a stop is requested")
+    {
+        REQUIRE(isReady(lifecycle, true));
+        requestStop(lifecycle, now);
+        THEN("it is unready at once and serves on until the balancer has noticed")
+        {
+            CHECK_FALSE(isReady(lifecycle, true));
+            CHECK(announcesClose(lifecycle));
+            CHECK_FALSE(closesIdle(lifecycle, now + 3s));
+            CHECK_FALSE(mayExit(lifecycle, 0, now + 3s));
+        }
+        THEN("later it ends as soon as no request is open")
+        {
+            CHECK(mayExit(lifecycle, 0, now + 3500ms));
+            CHECK_FALSE(mayExit(lifecycle, 1, now + 3500ms));
+            CHECK(refusesNew(lifecycle, now + 3600ms));
+        }
+        THEN("it ends before it is killed")
+        {
+            CHECK(mayExit(lifecycle, 1, now + 5900ms));
+        }
+        THEN("the next look at the time lies ahead")
+        {
+            // Guards against a stop that is never looked at again.
+            CHECK(*nextWake(lifecycle, now) > now);
+            CHECK(*nextWake(lifecycle, now) <= now + 4s);
+        }
+    }
+}
--- /dev/null
+++ b/tests/leafworld.h
@@ -0,0 +1,440 @@
+#pragma once
+
+#include "core/forwarder.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+// Several forwarders and their leafs under virtual time: replays arrivals, pauses, slow, full and
+// lost leafs, and counts what callers and leafs see.
+
+namespace crocusreach::forward {
+
+struct WorldLeaf
+{
+    std::string id;
+    std::string service;
+    std::string domain;
+    std::uint32_t slots = 3;
+    std::uint32_t queueLimit = 18;
+    double slowFactor = 1;
+    double shedShare = 0; // of requests that are refused as not run
+    double loseShare = 0; // of answers that are lost with their connection
+    bool dark = false; // answers nothing
+    Duration pauseTime = {};
+    Duration pauseEvery = {};
+    Duration pausePhase = {};
+    std::vector<TimePoint> slotFreeAt;
+    std::uint32_t queued = 0;
+    std::uint64_t runs = 0;
+    std::size_t connections = 0;
+    std::size_t mostConnections = 0;
+};
+
+struct WorldCall
+{
+    std::size_t instance = 0;
+    TimePoint arrivedAt = {};
+    const Route *route = nullptr;
+    std::uint32_t answers = 0;
+    std::map<std::string, std::uint32_t> runsByService;
+    std::map<std::string, std::uint32_t> sendsByService;
+};
+
+struct WorldResult
+{
+    std::uint64_t calls = 0;
+    std::uint64_t inTime = 0;
+    std::uint64_t late = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    double credit = 0; // square of the share of the parts, for answers in time
+};
+
+struct LeafWorld
+{
+    explicit LeafWorld(std::uint32_t seed, std::size_t instances)
+        : random(seed)
+    {
+        for (std::size_t number = 0; number < instances; ++number) {
+            auto &forwarder = this->forwarders.emplace_back();
+            auto settings = ForwarderSettings();
+            settings.domain = "zone-" + std::to_string(number % 3);
+            settings.repeats = this->repeats;
+            settings.seed = seed * 1000 + number + 1;
+            configure(forwarder, settings);
+            this->deliver(number, InstancesCounted{static_cast<std::uint32_t>(instances)});
+            this->deliver(number, StateRead());
+        }
+    }
+
+    struct Event
+    {
+        TimePoint at = {};
+        std::uint64_t order = 0;
+        std::function<auto()->void> run;
+
+        auto operator>(const Event &other) const -> bool
+        {
+            return std::pair(this->at, this->order) > std::pair(other.at, other.order);
+        }
+    };
+
+    auto at(TimePoint time, std::function<auto()->void> run) -> void
+    {
+        this->events.push({time, ++this->eventOrder, std::move(run)});
+    }
+
+    auto after(Duration delay, std::function<auto()->void> run) -> void
+    {
+        this->at(this->now + delay, std::move(run));
+    }
+
+    auto addLeaf(WorldLeaf leaf) -> void
+    {
+        leaf.slotFreeAt.resize(leaf.slots);
+        auto record = LeafRecord();
+        record.id = leaf.id;
+        record.service = leaf.service;
+        record.address = leaf.id + ":80";
+        record.domain = leaf.domain;
+        record.slots = leaf.slots;
+        record.revision = ++this->revision;
+        this->leafs.emplace(leaf.id, std::move(leaf));
+        for (std::size_t number = 0; number < this->forwarders.size(); ++number)
+            this->deliver(number, LeafsRegistered{{record}});
+    }
+
+    // Three leafs for each of the services, one in each domain.
+    auto addShards(const std::string &prefix, std::size_t count, Duration pauseTime,
+                   Duration pauseEvery) -> std::vector<std::string>
+    {
+        auto names = std::vector<std::string>();
+        for (std::size_t shard = 0; shard < count; ++shard) {
+            names.push_back(prefix + std::to_string(shard));
+            for (auto replica = 0; replica < 3; ++replica) {
+                auto leaf = WorldLeaf();
+                leaf.id = names.back() + "/" + std::to_string(replica);
+                leaf.service = names.back();
+                leaf.domain = "zone-" + std::to_string(replica);
+                leaf.pauseTime = pauseTime;
+                leaf.pauseEvery = pauseEvery;
+                leaf.pausePhase = Duration(static_cast<Duration::rep>(
+                        this->uniform() * static_cast<double>(pauseEvery.count())));
+                this->addLeaf(std::move(leaf));
+            }
+        }
+        return names;
+    }
+
+    auto setTable(const std::shared_ptr<RouteTable> &table) -> void
+    {
+        indexRoutes(*table);
+        this->table = table;
+        for (std::size_t number = 0; number < this->forwarders.size(); ++number)
+            this->deliver(number, RoutesChanged{table});
+    }
+
+    auto uniform() -> double
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->random);
+    }
+
+    // Poisson arrivals of one route at one instance.
+    auto startArrivals(std::size_t instance, const Route &route, double perSecond, Duration timeLeft,
+                       Duration workMean, TimePoint end) -> void
+    {
+        const auto gap = Duration(static_cast<Duration::rep>(-std::log(1 - this->uniform())
+                                                             / perSecond * 1e6));
+        if (this->now + gap >= end)
+            return;
+        this->after(gap, [=, this, &route] {
+            this->arrive(instance, route, timeLeft, workMean);
+            this->startArrivals(instance, route, perSecond, timeLeft, workMean, end);
+        });
+    }
+
+    auto arrive(std::size_t instance, const Route &route, Duration timeLeft, Duration workMean)
+            -> CallId
+    {
+        const auto call = CallId(++this->lastCall);
+        auto request = std::make_shared<ForwardRequest>();
+        request->id = std::to_string(this->lastCall);
+        request->method = "GET";
+        request->host = route.host;
+        request->target = route.pathPrefix + "x";
+        request->timeLeft = timeLeft;
+        this->calls[call] = {instance, this->now, &route, 0, {}, {}};
+        this->work[request->id] = workMean;
+        ++this->result.calls;
+        this->deliver(instance, RequestArrived{call, request});
+        return call;
+    }
+
+    auto run(TimePoint end) -> void
+    {
+        while (true) {
+            auto next = this->events.empty() ? TimePoint::max() : this->events.top().at;
+            auto ticking = this->forwarders.size();
+            for (std::size_t number = 0; number < this->forwarders.size(); ++number) {
+                const auto wake = nextWake(this->forwarders[number]);
+                if (wake && std::max(*wake, this->now) < next) {
+                    next = std::max(*wake, this->now);
+                    ticking = number;
+                }
+            }
+            if (next > end)
+                break;
+            this->now = next;
+            if (ticking < this->forwarders.size()) {
+                this->deliver(ticking, ForwarderTick());
+                continue;
+            }
+            const auto run = this->events.top().run;
+            this->events.pop();
+            run();
+        }
+        this->now = end;
+    }
+
+    auto deliver(std::size_t instance, const ForwardEvent &event) -> void
+    {
+        auto actions = std::vector<ForwardAction>();
+        handle(this->forwarders[instance], event, this->now, actions);
+        for (auto &action : actions) {
+            if (auto *send = std::get_if<SendToLeaf>(&action))
+                this->takeSend(instance, std::move(*send));
+            if (auto *close = std::get_if<CloseLink>(&action))
+                this->closeLink(instance, close->link);
+            if (auto *answer = std::get_if<AnswerCaller>(&action))
+                this->takeAnswer(*answer);
+        }
+    }
+
+    // Windows in which a service got more repeats than its budget allows. As the rule has it, the
+    // requests are those of the window, of the one before, or of the one half a window before.
+    auto budgetOverruns() const -> std::uint64_t
+    {
+        auto overruns = std::uint64_t(0);
+        const auto window = this->repeats.window;
+        for (const auto &[service, sends] : this->sendTimes) {
+            const auto &firsts = this->firstTimes.at(service);
+            const auto requests = [&firsts, window](TimePoint from) {
+                const auto begin = std::lower_bound(firsts.begin(), firsts.end(), from);
+                return std::lower_bound(begin, firsts.end(), from + window) - begin;
+            };
+            for (const auto &[from, repeat] : sends) {
+                const auto inWindow = std::count_if(
+                        sends.begin(), sends.end(), [&, start = from](const auto &item) {
+                            return item.second && item.first >= start
+                                   && item.first < start + window;
+                        });
+                const auto most = std::max({requests(from), requests(from - window),
+                                            requests(from - window / 2)});
+                const auto allowed = this->repeats.ratio * static_cast<double>(most)
+                                     + this->repeats.slack;
+                if (repeat && static_cast<double>(inWindow) > allowed)
+                    ++overruns;
+            }
+        }
+        return overruns;
+    }
+
+    std::mt19937 random;
+    TimePoint now = TimePoint(std::chrono::hours(1));
+    std::deque<Forwarder> forwarders;
+    std::map<std::string, WorldLeaf> leafs;
+    std::shared_ptr<const RouteTable> table;
+    RepeatLimits repeats = {0.2, 54, std::chrono::seconds(10)};
+    std::map<CallId, WorldCall> calls;
+    WorldResult result;
+    std::uint64_t violations = 0; // of what must never happen, whatever the leafs do
+    std::map<std::string, std::vector<std::pair<TimePoint, bool>>> sendTimes; // by service; repeat?
+    std::map<std::string, std::vector<TimePoint>> firstTimes;
+
+private:
+    auto takeSend(std::size_t instance, SendToLeaf &&send) -> void
+    {
+        auto &leaf = this->leafs.at(send.leafId);
+        auto &call = this->callOf(send.request->id);
+        auto &sends = ++call.sendsByService[leaf.service];
+        if (sends > call.route->maxAttempts)
+            ++this->violations;
+        this->sendTimes[leaf.service].emplace_back(this->now, sends > 1);
+        if (sends == 1)
+            this->firstTimes[leaf.service].push_back(this->now);
+        if (send.open) {
+            this->linkOwner[{instance, send.link}] = leaf.id;
+            leaf.mostConnections = std::max(leaf.mostConnections, ++leaf.connections);
+        }
+        this->linkSend[{instance, send.link}] = send.send;
+        const auto travel = std::chrono::milliseconds(1);
+        this->after(travel, [this, instance, send = std::move(send)] { this->reach(instance, send); });
+    }
+
+    auto reach(std::size_t instance, const SendToLeaf &send) -> void
+    {
+        auto &leaf = this->leafs.at(send.leafId);
+        if (leaf.dark)
+            return;
+        if (this->uniform() < leaf.shedShare || leaf.queued >= leaf.queueLimit)
+            return this->reply(instance, send, LeafAnswerKind::NotRun);
+        const auto slot = std::min_element(leaf.slotFreeAt.begin(), leaf.slotFreeAt.end());
+        const auto start = std::max(this->now, *slot);
+        const auto mean = static_cast<double>(this->work.at(send.request->id).count());
+        const auto spread = std::lognormal_distribution<double>(-0.06, 0.35)(this->random);
+        auto end = start
+                   + Duration(static_cast<Duration::rep>(mean * spread * leaf.slowFactor));
+        end = this->afterPause(leaf, end);
+        *slot = end;
+        ++leaf.queued;
+        auto &call = this->callOf(send.request->id);
+        if (++call.runsByService[leaf.service] > 1 && !call.route->idempotent)
+            ++this->violations;
+        this->at(end, [this, instance, send] {
+            auto &ended = this->leafs.at(send.leafId);
+            --ended.queued;
+            ++ended.runs;
+            if (this->uniform() < ended.loseShare)
+                return this->lose(instance, send);
+            this->reply(instance, send, LeafAnswerKind::Success);
+        });
+    }
+
+    auto afterPause(const WorldLeaf &leaf, TimePoint end) const -> TimePoint
+    {
+        if (leaf.pauseTime == Duration())
+            return end;
+        const auto position = (end.time_since_epoch() + leaf.pausePhase) % leaf.pauseEvery;
+        return position < leaf.pauseTime ? end + (leaf.pauseTime - position) : end;
+    }
+
+    auto reply(std::size_t instance, const SendToLeaf &send, LeafAnswerKind kind) -> void
+    {
+        this->after(std::chrono::milliseconds(1), [this, instance, send, kind] {
+            const auto key = std::pair(instance, send.link);
+            const auto current = this->linkSend.find(key);
+            if (current == this->linkSend.end() || current->second != send.send)
+                return;
+            this->linkSend.erase(current);
+            auto answer = LeafAnswer();
+            answer.kind = kind;
+            answer.status = kind == LeafAnswerKind::Success ? 200 : 503;
+            answer.receipt = send.leafId + ":" + send.request->id;
+            this->deliver(instance, LeafAnswered{send.send, answer, true, {}});
+        });
+    }
+
+    auto lose(std::size_t instance, const SendToLeaf &send) -> void
+    {
+        const auto key = std::pair(instance, send.link);
+        const auto current = this->linkSend.find(key);
+        if (current == this->linkSend.end() || current->second != send.send)
+            return;
+        this->closeLink(instance, send.link);
+        this->deliver(instance, SendFailed{send.send, SendFailure::Lost});
+    }
+
+    auto closeLink(std::size_t instance, LinkId link) -> void
+    {
+        const auto key = std::pair(instance, link);
+        this->linkSend.erase(key);
+        const auto owner = this->linkOwner.find(key);
+        if (owner == this->linkOwner.end())
+            return;
+        --this->leafs.at(owner->second).connections;
+        this->linkOwner.erase(owner);
+    }
+
+    auto takeAnswer(const AnswerCaller &answer) -> void
+    {
+        auto &call = this->calls.at(answer.call);
+        if (++call.answers > 1)
+            ++this->violations;
+        if (const auto *own = std::get_if<OwnAnswer>(&answer.answer)) {
+            const auto ran = !call.runsByService.empty();
+            if (own->status == OwnStatus::NotRun && ran && !call.route->idempotent)
+                ++this->violations;
+            ++(own->status == OwnStatus::NotRun ? this->result.refused : this->result.failed);
+            return;
+        }
+        auto share = 1.0;
+        if (const auto *merged = std::get_if<MergedAnswer>(&answer.answer)) {
+            const auto parts = merged->receipts.size() + merged->missing;
+            share = static_cast<double>(merged->receipts.size()) / static_cast<double>(parts);
+            const auto distinct = std::set<std::string>(merged->receipts.begin(),
+                                                        merged->receipts.end());
+            const auto whole = distinct.size() == merged->receipts.size()
+                               && parts == call.route->shards.size()
+                               && share >= call.route->minShardRatio;
+            if (!whole)
+                ++this->violations;
+        }
+        const auto inTime = this->now - call.arrivedAt <= call.route->targetLatency;
+        ++(inTime ? this->result.inTime : this->result.late);
+        if (inTime)
+            this->result.credit += share * share;
+    }
+
+    auto callOf(const std::string &requestId) -> WorldCall &
+    {
+        return this->calls.at(CallId(std::stoull(requestId)));
+    }
+
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+    std::uint64_t eventOrder = 0;
+    std::uint64_t lastCall = 0;
+    std::uint64_t revision = 0;
+    std::map<std::string, Duration> work; // mean, by request id
+    std::map<std::pair<std::size_t, LinkId>, std::string> linkOwner; // open connections
+    std::map<std::pair<std::size_t, LinkId>, SendId> linkSend; // what runs on them
+};
+
+// A route that asks every one of the shards.
+inline auto gatherRoute(std::vector<std::string> shards, Duration targetLatency, Duration timeout,
+                        double minShardRatio) -> Route
+{
+    auto route = Route();
+    route.name = "sweep";
+    route.host = "a.example";
+    route.pathPrefix = "/sweep/";
+    route.idempotent = true;
+    route.timeout = timeout;
+    route.targetLatency = targetLatency;
+    route.priority = 1;
+    route.maxAttempts = 2;
+    route.shards = std::move(shards);
+    route.topRecords = 10;
+    route.minShardRatio = minShardRatio;
+    return route;
+}
+
+// A route to one service.
+inline auto singleRoute(const std::string &service, bool idempotent, Duration targetLatency,
+                        Duration timeout) -> Route
+{
+    auto route = Route();
+    route.name = "fetch";
+    route.host = "a.example";
+    route.pathPrefix = "/fetch/";
+    route.idempotent = idempotent;
+    route.timeout = timeout;
+    route.targetLatency = targetLatency;
+    route.priority = 2;
+    route.maxAttempts = 2;
+    route.split = {{service, 1}};
+    return route;
+}
+
+} // namespace crocusreach::forward
