--- a/base/log.cpp
+++ b/base/log.cpp
@@ -168,7 +168,8 @@
 {
     const auto index = static_cast<std::size_t>(&infoOf(event) - events.data());
     const auto second
-            = std::chrono::duration_cast<std::chrono::seconds>(wallNow().time_since_epoch()).count();
+            = std::chrono::duration_cast<std::chrono::seconds>(wallNow().time_since_epoch())
+                      .count();
     const auto lock = std::lock_guard(countMutex);
     auto &count = lineCounts.at(index);
     if (second != count.second)
--- a/core/forwardanswer.cpp
+++ b/core/forwardanswer.cpp
@@ -130,8 +130,8 @@
 auto decideOutcome(Forwarder &forwarder, Call &call, TimePoint now) -> std::optional<CallOutcome>
 {
     const auto gathers = !call.route->shards.empty();
-    auto outcome = gathers ? gatherOutcome(forwarder, call, now)
-                           : singleOutcome(forwarder, call, now);
+    auto outcome
+            = gathers ? gatherOutcome(forwarder, call, now) : singleOutcome(forwarder, call, now);
     if (outcome || now < call.endAt)
         return outcome;
     if (gathers && countParts(call, PartState::Answered) >= requiredParts(call))
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -25,6 +25,7 @@
 // After its caller has left, a send that may be repeated is cancelled if it takes longer than
 // this. Shorter ones end by themselves and keep their connection.
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
+constexpr Duration linkCheckInterval = std::chrono::milliseconds(500);
 // Calls in progress take memory; beyond this number new ones are turned away.
 constexpr std::size_t mostCalls = 2000;
 // At the start, the state is read within some tens of milliseconds. A request is held so long,
@@ -274,12 +275,15 @@
     endCall(forwarder, call, CallEnd::CallerLeft, now, actions);
 }
 
-auto freeLink(LeafState &leaf, const LeafAnswered &event, LinkId id, TimePoint now) -> void
+auto freeLink(Forwarder &forwarder, LeafState &leaf, const LeafAnswered &event, LinkId id,
+              TimePoint now) -> void
 {
     const auto link = std::find_if(leaf.links.begin(), leaf.links.end(),
                                    [id](const Link &item) { return item.id == id; });
     link->state = LinkState::Idle;
     link->idleSince = now;
+    if (!forwarder.nextLinkCheck)
+        forwarder.nextLinkCheck = now + linkCheckInterval;
     if (event.idleLimit > Duration())
         link->idleLimit = event.idleLimit;
 }
@@ -321,8 +325,8 @@
     if (route == nullptr || send.opened)
         return noteAnswer(leaf, {}, now);
     const auto usual = std::max(Duration(1), usualLatency(*send.stats, *route));
-    const auto ratio = static_cast<double>((now - send.sentAt).count())
-                       / static_cast<double>(usual.count());
+    const auto ratio
+            = static_cast<double>((now - send.sentAt).count()) / static_cast<double>(usual.count());
     noteAnswer(leaf, std::min(ratio, greatestRatio), now);
     recordLatency(*send.stats, now - send.sentAt, now);
 }
@@ -407,7 +411,7 @@
     if (!event.linkUsable || !leaf.listed)
         closeLink(forwarder, send.link, actions);
     else
-        freeLink(leaf, event, send.link, now);
+        freeLink(forwarder, leaf, event, send.link, now);
     if (call != forwarder.calls.end()) {
         takeAnswer(*call->second, call->second->parts[send.part], send, event.answer);
         advance(forwarder, *call->second, now, actions);
@@ -540,11 +544,32 @@
         call->second->parts[send.part].mayHaveRun = true;
 }
 
+// Closes connections that were idle for too long, before their leafs do.
+auto closeStaleLinks(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    if (!forwarder.nextLinkCheck || now < *forwarder.nextLinkCheck)
+        return;
+    auto stale = std::vector<LinkId>();
+    for (const auto &leaf : forwarder.leafs.leafs) {
+        for (const auto &link : leaf.links) {
+            if (link.state == LinkState::Idle && now - link.idleSince > idleTime(leaf, link))
+                stale.push_back(link.id);
+        }
+    }
+    for (const auto id : stale)
+        closeLink(forwarder, id, actions);
+    forwarder.nextLinkCheck.reset();
+    if (!forwarder.links.empty())
+        forwarder.nextLinkCheck = now + linkCheckInterval;
+}
+
 auto take(Forwarder &forwarder, const ForwarderTick & /*event*/, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
 {
     applyRemovals(forwarder.leafs, now);
     refuseHeld(forwarder, now, actions);
+    closeStaleLinks(forwarder, now, actions);
     while (!forwarder.alarms.empty() && forwarder.alarms.top().at <= now) {
         const auto alarm = forwarder.alarms.top();
         forwarder.alarms.pop();
@@ -584,6 +609,8 @@
 auto nextWake(const Forwarder &forwarder) -> std::optional<TimePoint>
 {
     auto wake = forwarder.leafs.nextRemoval;
+    if (forwarder.nextLinkCheck)
+        wake = std::min(wake.value_or(TimePoint::max()), *forwarder.nextLinkCheck);
     for (const auto &item : forwarder.held)
         wake = std::min(wake.value_or(TimePoint::max()), item.heldUntil);
     if (!forwarder.alarms.empty())
@@ -596,6 +623,7 @@
     if (forwarder.random.value == RandomState().value)
         forwarder.random.value = settings.seed;
     forwarder.settings = settings;
+    forwarder.share.instanceHash = settings.seed;
     forwarder.share.coldOvershoot = settings.coldOvershoot;
     if (!forwarder.instancesKnown)
         forwarder.share.instances = settings.assumedInstances;
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -69,6 +69,7 @@
     bool refusesNew = false;
     bool stateRead = false;
     bool stateUnavailable = false; // requests are refused until the state is read
+    std::optional<TimePoint> nextLinkCheck; // for connections that were idle for too long
     std::vector<HeldRequest> held; // arrived before the state was read
     RandomState random;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -64,7 +64,8 @@
 {
     LeafAnswerKind kind = LeafAnswerKind::Failure;
     std::uint32_t status = 0; // of HTTP; 0 if the answer can't be passed on
-    // The status alone tells a caller that the request has not run, though the leaf doesn't state it.
+    // The status alone tells a caller that the request has not run, though the leaf doesn't state
+    // it.
     bool soundsNotRun = false;
     std::string receipt; // the leaf's proof that it answered this request; empty if it gave none
     std::optional<ReportedLoad> load;
@@ -161,8 +162,8 @@
 
 using ForwardEvent = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, LinkClosed,
                                   RoutesChanged, LeafsRegistered, LeafsRemoved, DomainsEvacuated,
-                                  InstancesCounted, SettingsChanged,
-                                  NewRequestsRefused, StateRead, StateUnavailable, ForwarderTick>;
+                                  InstancesCounted, SettingsChanged, NewRequestsRefused, StateRead,
+                                  StateUnavailable, ForwarderTick>;
 
 // Actions.
 
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -79,13 +79,14 @@
         return;
     if (leaf.listed && leaf.record.service != record.service)
         unlist(table, index);
-    const auto restarted = leaf.record.startedAt != record.startedAt
-                           || leaf.record.address != record.address;
+    const auto restarted
+            = leaf.record.startedAt != record.startedAt || leaf.record.address != record.address;
     if (restarted || leaf.record.revision != record.revision)
         leaf.misdirected = false;
     if (restarted)
         startAnew(leaf);
     leaf.record = record;
+    leaf.idHash = hashName(record.id);
     leaf.removeAt.reset();
     if (record.coldLeft > Duration())
         leaf.coldUntil = now + record.coldLeft;
@@ -118,8 +119,8 @@
         if (*leaf.removeAt <= now)
             unlist(table, LeafIndexNumber(number));
         else
-            table.nextRemoval = std::min(table.nextRemoval.value_or(*leaf.removeAt),
-                                         *leaf.removeAt);
+            table.nextRemoval
+                    = std::min(table.nextRemoval.value_or(*leaf.removeAt), *leaf.removeAt);
     }
 }
 
@@ -153,8 +154,8 @@
     if (!ratio)
         return;
     const auto former = slownessOf(leaf, now);
-    leaf.slowness = std::clamp(former + newWeight * (*ratio - former), leastSlowness,
-                               greatestSlowness);
+    leaf.slowness
+            = std::clamp(former + newWeight * (*ratio - former), leastSlowness, greatestSlowness);
     leaf.slownessAt = now;
 }
 
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -70,6 +70,8 @@
     bool listed = false; // the registry holds the entry, or its removal isn't in force yet
     std::optional<TimePoint> removeAt; // a removal that takes effect at this time
     bool misdirected = false; // another leaf answered at the address
+    bool preferred = true; // this instance keeps connections to it
+    std::uint64_t idHash = 0;
     std::vector<Link> links;
     std::vector<OutstandingSend> outstanding; // oldest first
     // Latency relative to what is usual for the route. It returns towards 1 without answers, so
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace crocusreach::forward {
 
@@ -22,9 +23,12 @@
 constexpr double coldExtra = 0.6;
 // A reported load says little after this time.
 constexpr Duration loadValidity = std::chrono::milliseconds(300);
-// Of the stated limit of connections, the part that instances share out. The rest is for
-// connections that an ended instance has left behind.
-constexpr double sharedConnections = 0.9;
+// Of the stated limit of connections, the part that instances share out. The rest is for as many
+// that instances have left behind when they lost power.
+constexpr double sharedConnections = 0.45;
+// Of a leaf that this instance keeps no connections to.
+constexpr Duration otherLeafCost = std::chrono::milliseconds(8);
+constexpr Duration otherLeafIdleTime = std::chrono::seconds(1);
 // Of the stated cold rate, the part that instances share out.
 constexpr double sharedColdRate = 0.5;
 // An idle connection isn't used in the last part of its announced idle time, since the leaf may
@@ -33,11 +37,14 @@
 // Assumed for a leaf that states none.
 constexpr Duration assumedIdleLimit = std::chrono::seconds(4);
 
-auto isFresh(const Link &link, TimePoint now) -> bool
+auto scaled(Duration duration, double factor) -> Duration
 {
-    const auto limit = link.idleLimit > Duration() ? link.idleLimit : assumedIdleLimit;
-    return std::chrono::duration<double>(now - link.idleSince)
-           < usedIdleTime * std::chrono::duration<double>(limit);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+auto isFresh(const LeafState &leaf, const Link &link, TimePoint now) -> bool
+{
+    return now - link.idleSince < idleTime(leaf, link);
 }
 
 // The link that was idle for the shortest time.
@@ -45,7 +52,7 @@
 {
     const Link *best = nullptr;
     for (const auto &link : leaf.links) {
-        if (link.state == LinkState::Idle && isFresh(link, now)
+        if (link.state == LinkState::Idle && isFresh(leaf, link, now)
             && (best == nullptr || link.idleSince > best->idleSince))
             best = &link;
     }
@@ -61,11 +68,6 @@
     return std::max(own, reported);
 }
 
-auto scaled(Duration duration, double factor) -> Duration
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 auto expectedTime(const LeafState &leaf, const PlacementQuery &query, bool opens, TimePoint now)
         -> Duration
 {
@@ -79,6 +81,8 @@
     auto time = scaled(query.usualLatency, factor);
     if (leaf.record.domain != query.ownDomain)
         time += otherDomainCost;
+    if (!leaf.preferred)
+        time += otherLeafCost;
     if (opens)
         time += openCost;
     time += scaled(failureCost, failureRateOf(leaf, now));
@@ -89,6 +93,32 @@
     return time;
 }
 
+// Marks the leafs to which this instance keeps connections: all, or where these would be too many,
+// those of its own failure domain first and then by a hash, so that instances spread.
+auto choosePreferred(LeafTable &table, std::span<const LeafIndexNumber> list,
+                     const PlacementQuery &query, const InstanceShare &share) -> void
+{
+    const auto limited = query.spec != nullptr && query.spec->maxConnections > 0;
+    const auto part = limited ? sharedConnections * query.spec->maxConnections
+                                        / std::max(1U, share.instances)
+                              : 1.0;
+    auto kept = list.size();
+    if (part < 1)
+        kept = std::max(std::size_t(1),
+                        static_cast<std::size_t>(part * static_cast<double>(list.size())));
+    const auto rank = [&](LeafIndexNumber index) {
+        const auto &leaf = leafAt(table, index);
+        return std::pair(leaf.record.domain != query.ownDomain,
+                         hashPair(share.instanceHash, leaf.idHash));
+    };
+    for (const auto index : list) {
+        const auto better = std::count_if(list.begin(), list.end(), [&](LeafIndexNumber other) {
+            return isUsable(table, leafAt(table, other)) && rank(other) < rank(index);
+        });
+        leafAt(table, index).preferred = static_cast<std::size_t>(better) < kept;
+    }
+}
+
 auto mayTakeCold(const LeafState &leaf, const PlacementQuery &query, TimePoint now) -> bool
 {
     const auto limited = query.spec != nullptr && query.spec->coldRate > 0;
@@ -105,6 +135,13 @@
     return std::max(std::size_t(1), static_cast<std::size_t>(part));
 }
 
+auto idleTime(const LeafState &leaf, const Link &link) -> Duration
+{
+    const auto limit = link.idleLimit > Duration() ? link.idleLimit : assumedIdleLimit;
+    const auto used = scaled(limit, usedIdleTime);
+    return leaf.preferred ? used : std::min(used, otherLeafIdleTime);
+}
+
 auto placeSend(LeafTable &table, const PlacementQuery &query, const InstanceShare &share,
                RandomState &random, TimePoint now) -> std::optional<Placement>
 {
@@ -112,19 +149,20 @@
     if (list == table.byService.end())
         return {};
     const auto limit = linkLimit(query.spec, share);
+    choosePreferred(table, list->second, query, share);
     auto best = std::optional<Placement>();
     auto bestTime = Duration::max();
     for (const auto index : list->second) {
         auto &leaf = leafAt(table, index);
-        const auto wasTried = std::find(query.tried.begin(), query.tried.end(), index)
-                              != query.tried.end();
+        const auto wasTried
+                = std::find(query.tried.begin(), query.tried.end(), index) != query.tried.end();
         if (wasTried || !isUsable(table, leaf) || !mayTakeCold(leaf, query, now))
             continue;
         const auto *link = newestIdle(leaf, now);
         if (link == nullptr && leaf.links.size() >= limit)
             continue;
-        const auto spread = static_cast<Duration::rep>(nextRandom(random)
-                                                       % static_cast<std::uint64_t>(jitter.count()));
+        const auto spread = static_cast<Duration::rep>(
+                nextRandom(random) % static_cast<std::uint64_t>(jitter.count()));
         const auto time = expectedTime(leaf, query, link == nullptr, now) + Duration(spread);
         if (time >= bestTime)
             continue;
--- a/core/placement.h
+++ b/core/placement.h
@@ -16,10 +16,12 @@
 struct InstanceShare
 {
     std::uint32_t instances = 1; // that may be alive, never too low
+    std::uint64_t instanceHash = 0; // of this instance's name
     double coldOvershoot = 1; // factor on the stated cold rate that is still borne
 };
 
-// Connections that this instance may keep to one leaf.
+// Connections that this instance may keep to one leaf. After a loss of power, leafs still count the
+// connections of before for some time, so that all instances together use less than half.
 auto linkLimit(const ServiceSpec *spec, const InstanceShare &share) -> std::size_t;
 
 struct PlacementQuery
@@ -38,6 +40,11 @@
     bool doubtful = false; // the leaf stands still or has failed lately
 };
 
+// How long a connection to the leaf may be idle before it is closed. In a deployment with more
+// instances than a leaf accepts connections, each keeps them to a few leafs of a service only;
+// those to others are closed soon after use.
+auto idleTime(const LeafState &leaf, const Link &link) -> Duration;
+
 // The usable leaf with the least expected time; none if all are in use up to the limit, tried or
 // unusable.
 auto placeSend(LeafTable &table, const PlacementQuery &query, const InstanceShare &share,
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -214,10 +214,8 @@
     if (reader.seed && isObjectChannel(number))
         reader.failedSeeds = 0;
     if (std::exchange(channel.lost, false))
-        actions.emplace_back(StoreNotification{StoreNotice::Regained,
-                                               static_cast<Channel>(number),
-                                               {},
-                                               sourceAddress(reader)});
+        actions.emplace_back(StoreNotification{
+                StoreNotice::Regained, static_cast<Channel>(number), {}, sourceAddress(reader)});
 }
 
 // News of one reply, sorted by what they mean to the forwarder.
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -138,9 +138,8 @@
 };
 
 // Calls go out, the forwarder's events to the forwarder.
-using StoreReaderAction
-        = std::variant<StoreCall, AbandonObjectCalls, ForwardEvent, StoreNotification,
-                       ObjectRejected>;
+using StoreReaderAction = std::variant<StoreCall, AbandonObjectCalls, ForwardEvent,
+                                       StoreNotification, ObjectRejected>;
 
 struct ChannelState
 {
--- a/front/callertask.cpp
+++ b/front/callertask.cpp
@@ -12,11 +12,10 @@
     : reactor(reactor)
     , codec(codec)
     , outlet(std::move(outlet))
-    , listener(reactor,
-               {[this](CallerId caller, HttpMessage &&message) {
-                    this->onRequest(caller, std::move(message));
-                },
-                [this](CallerId caller) { this->onLeft(caller); }})
+    , listener(reactor, {[this](CallerId caller, HttpMessage &&message) {
+                             this->onRequest(caller, std::move(message));
+                         },
+                         [this](CallerId caller) { this->onLeft(caller); }})
 { }
 
 auto CallerTask::open(std::string_view address) -> Result<std::string>
@@ -28,17 +27,16 @@
 {
     auto request = this->codec.readRequest(std::move(message));
     if (const auto *const refusal = std::get_if<CallerResponse>(&request)) {
-        logEvent(LogEvent::RequestRejected, {{"status", std::to_string(refusal->status)},
-                                             {"reason", refusal->body}});
+        logEvent(LogEvent::RequestRejected,
+                 {{"status", std::to_string(refusal->status)}, {"reason", refusal->body}});
         this->listener.respond(caller, refusal->status, refusal->headers, refusal->body);
         return;
     }
     const auto call = CallId(++this->lastCall);
     this->calls.insert_or_assign(caller, call);
     this->callers.emplace(call, caller);
-    this->outlet(RequestArrived{
-            call,
-            std::make_shared<const ForwardRequest>(std::get<ForwardRequest>(std::move(request)))});
+    this->outlet(RequestArrived{call, std::make_shared<const ForwardRequest>(
+                                              std::get<ForwardRequest>(std::move(request)))});
 }
 
 auto CallerTask::onLeft(CallerId caller) -> void
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -51,14 +51,13 @@
 auto logLeafs(const LeafsRegistered &event) -> void
 {
     for (const auto &leaf : event.leafs) {
-        logEvent(LogEvent::LeafRegistered,
-                 {{"leaf", leaf.id},
-                  {"service", leaf.service},
-                  {"address", leaf.address},
-                  {"domain", leaf.domain},
-                  {"draining", leaf.draining ? "yes" : "no"},
-                  {"cold_ms", milliseconds(leaf.coldLeft)},
-                  {"revision", std::to_string(leaf.revision)}});
+        logEvent(LogEvent::LeafRegistered, {{"leaf", leaf.id},
+                                            {"service", leaf.service},
+                                            {"address", leaf.address},
+                                            {"domain", leaf.domain},
+                                            {"draining", leaf.draining ? "yes" : "no"},
+                                            {"cold_ms", milliseconds(leaf.coldLeft)},
+                                            {"revision", std::to_string(leaf.revision)}});
     }
 }
 
@@ -100,11 +99,10 @@
     , seed(this->reactor, this->codec,
            {[this]() -> const StoreReader & { return this->store.state(); },
             [this] { this->store.asked(); }})
-    , readyListener(this->reactor,
-                    {[this](CallerId caller, HttpMessage &&request) {
-                         this->answerAdmin(caller, request, this->readyListener);
-                     },
-                     [](CallerId) {}})
+    , readyListener(this->reactor, {[this](CallerId caller, HttpMessage &&request) {
+                                        this->answerAdmin(caller, request, this->readyListener);
+                                    },
+                                    [](CallerId) {}})
     , adminListener(this->reactor, {[this](CallerId caller, HttpMessage &&request) {
                                         this->answerAdmin(caller, request, this->adminListener);
                                     },
@@ -271,9 +269,8 @@
         this->callers.closeIdle();
     const auto open = this->callers.openRequests();
     if (!mayExit(this->lifecycle, open, now)) {
-        this->nextStopCheck = closesIdle(this->lifecycle, now)
-                                      ? now + interval
-                                      : nextWake(this->lifecycle, now);
+        this->nextStopCheck = closesIdle(this->lifecycle, now) ? now + interval
+                                                               : nextWake(this->lifecycle, now);
         return;
     }
     this->nextStopCheck.reset();
--- a/front/frontcodec.h
+++ b/front/frontcodec.h
@@ -43,8 +43,8 @@
     // Whether a leaf's response belongs to the request with this id.
     std::function<auto(const HttpMessage &, std::string_view)->bool> belongs;
     std::function<auto(const forward::StoreRequest &)->StoreHttpRequest> writeStoreRequest;
-    std::function<auto(const forward::StoreRequest &, const HttpMessage &)
-                          ->forward::StoreReplyContent>
+    std::function<
+            auto(const forward::StoreRequest &, const HttpMessage &)->forward::StoreReplyContent>
             readStoreReply;
     // Calls of other instances to this one, which are encoded like those to the store.
     std::function<auto(const HttpMessage &)->std::optional<forward::StoreRequest>> readObjectCall;
--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -181,8 +181,7 @@
 // False if the connection has ended.
 auto HttpListener::write(Connection &connection) -> bool
 {
-    const auto status
-            = writeSome(connection.socket.get(), connection.output, connection.written);
+    const auto status = writeSome(connection.socket.get(), connection.output, connection.written);
     if (status == IoStatus::Broken)
         return false;
     if (status == IoStatus::Ok) {
@@ -197,8 +196,8 @@
 
 auto HttpListener::updateWanted(Connection &connection) -> void
 {
-    this->reactor.change(connection.socket.get(), {connection.input.size() < mostInput,
-                                                   !connection.output.empty(), false});
+    this->reactor.change(connection.socket.get(),
+                         {connection.input.size() < mostInput, !connection.output.empty(), false});
 }
 
 auto HttpListener::drop(CallerId id) -> void
--- a/front/httpmessage.cpp
+++ b/front/httpmessage.cpp
@@ -152,8 +152,7 @@
 {
     if (this->complete || this->currentFault != HttpFault::None)
         return 0;
-    const auto taken
-            = http_parser_execute(&this->parser, &settings(), bytes.data(), bytes.size());
+    const auto taken = http_parser_execute(&this->parser, &settings(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&this->parser);
     if (this->complete) {
         http_parser_pause(&this->parser, 0);
--- a/front/leaftask.cpp
+++ b/front/leaftask.cpp
@@ -34,8 +34,7 @@
                  this->onAnswered(link, std::move(response), usable);
              },
              [this](std::uint64_t link, LinkFailure failure) { this->onFailed(link, failure); },
-             [this](std::uint64_t link) { this->outlet(LinkClosed{LinkId(link)}); },
-             codec.belongs})
+             [this](std::uint64_t link) { this->outlet(LinkClosed{LinkId(link)}); }, codec.belongs})
 { }
 
 auto LeafTask::post(SendToLeaf &&send) -> void
--- a/front/reactor.cpp
+++ b/front/reactor.cpp
@@ -37,9 +37,8 @@
 Reactor::Reactor(GMainContext *context)
     : epoll(epoll_create1(EPOLL_CLOEXEC))
 {
-    static GSourceFuncs functions
-            = {&Reactor::prepare, &Reactor::check, &Reactor::dispatchSource, nullptr, nullptr,
-               nullptr};
+    static GSourceFuncs functions = {&Reactor::prepare, &Reactor::check, &Reactor::dispatchSource,
+                                     nullptr,           nullptr,         nullptr};
     auto *created = g_source_new(&functions, sizeof(Source));
     auto *extended = reinterpret_cast<Source *>(created);
     extended->reactor = this;
@@ -109,8 +108,7 @@
     // A loop that sleeps for long still finds out in time that the machine was suspended.
     constexpr auto longestWait = std::chrono::milliseconds(1000);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(*earliest - decisionNow());
-    return static_cast<gint>(
-            std::clamp(left, std::chrono::milliseconds(0), longestWait).count());
+    return static_cast<gint>(std::clamp(left, std::chrono::milliseconds(0), longestWait).count());
 }
 
 auto Reactor::prepare(GSource *source, gint *timeout) -> gboolean
@@ -144,15 +142,14 @@
 auto Reactor::dispatchSockets() -> void
 {
     auto events = std::array<epoll_event, eventsPerTurn>();
-    const auto count = epoll_wait(this->epoll.get(), events.data(),
-                                  static_cast<int>(events.size()), 0);
+    const auto count
+            = epoll_wait(this->epoll.get(), events.data(), static_cast<int>(events.size()), 0);
     for (auto index = 0; index < count; ++index) {
         const auto &event = events.at(static_cast<std::size_t>(index));
         auto &watch = *static_cast<Watch *>(event.data.ptr);
         if (watch.forgotten)
             continue;
-        watch.handler({(event.events & (EPOLLIN | EPOLLRDHUP)) != 0,
-                       (event.events & EPOLLOUT) != 0,
+        watch.handler({(event.events & (EPOLLIN | EPOLLRDHUP)) != 0, (event.events & EPOLLOUT) != 0,
                        (event.events & (EPOLLERR | EPOLLHUP)) != 0});
         this->drain();
     }
--- a/front/reactor.h
+++ b/front/reactor.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/types.h"
 #include "base/mailbox.h"
+#include "core/types.h"
 
 #include <glib.h>
 
--- a/front/seedtask.cpp
+++ b/front/seedtask.cpp
@@ -62,8 +62,8 @@
 // Returns whether the call was answered. The last time, it is in any case.
 auto SeedTask::tryAnswer(const WaitingCall &call, bool last) -> bool
 {
-    const auto &cache = this->source.reader().cache.kinds.at(
-            static_cast<std::size_t>(kindOf(call.request)));
+    const auto &cache
+            = this->source.reader().cache.kinds.at(static_cast<std::size_t>(kindOf(call.request)));
     if (!cache.complete) {
         if (last)
             this->respond(call.caller, HTTP_STATUS_SERVICE_UNAVAILABLE, {});
@@ -106,11 +106,10 @@
 
 auto SeedTask::nextEnd() const -> std::optional<TimePoint>
 {
-    const auto first = std::min_element(
-            this->waiting.begin(), this->waiting.end(),
-            [](const WaitingCall &left, const WaitingCall &right) {
-                return left.until < right.until;
-            });
+    const auto first = std::min_element(this->waiting.begin(), this->waiting.end(),
+                                        [](const WaitingCall &left, const WaitingCall &right) {
+                                            return left.until < right.until;
+                                        });
     return first == this->waiting.end() ? std::nullopt : std::optional(first->until);
 }
 
--- a/front/storereadertask.cpp
+++ b/front/storereadertask.cpp
@@ -19,8 +19,9 @@
 {
     const auto text = findHeader(response, storeAgeHeader);
     auto milliseconds = std::int64_t(0);
-    if (!text || std::from_chars(text->data(), text->data() + text->size(), milliseconds).ec
-                         != std::errc())
+    if (!text
+        || std::from_chars(text->data(), text->data() + text->size(), milliseconds).ec
+                   != std::errc())
         return {};
     return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, 3'600'000));
 }
--- a/front/storereadertask.h
+++ b/front/storereadertask.h
@@ -20,9 +20,10 @@
 {
 public:
     // Receives what the forwarder must know, and what the log must tell.
-    using Outlet = std::function<auto(std::variant<forward::ForwardEvent, forward::StoreNotification,
-                                                   forward::ObjectRejected> &&)
-                                         ->void>;
+    using Outlet
+            = std::function<auto(std::variant<forward::ForwardEvent, forward::StoreNotification,
+                                              forward::ObjectRejected> &&)
+                                    ->void>;
 
     // The second function is called whenever objects may have changed.
     StoreReaderTask(Reactor &reactor, const FrontCodec &codec, Outlet outlet,
--- a/front/tcpsocket.cpp
+++ b/front/tcpsocket.cpp
@@ -101,8 +101,7 @@
 
 auto acceptTcp(int listener) -> FileHandle
 {
-    auto accepted
-            = FileHandle(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    auto accepted = FileHandle(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (accepted.isOpen())
         setOption(accepted.get(), IPPROTO_TCP, TCP_NODELAY, 1);
     return accepted;
--- a/instance/frontmain.cpp
+++ b/instance/frontmain.cpp
@@ -1,10 +1,10 @@
 #include "frontmain.h"
 
+#include "base/log.h"
 #include "exitcode.h"
+#include "front/front.h"
 #include "platform/codec.h"
 #include "platform/settings.h"
-#include "front/front.h"
-#include "base/log.h"
 
 #include <glib-unix.h>
 
--- a/runtime/admintask.h
+++ b/runtime/admintask.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "base/mailbox.h"
 #include "core/clusterview.h"
 #include "core/dispatch.h"
 #include "core/types.h"
 #include "formats/settings.h"
-#include "base/mailbox.h"
 #include "objectapi.h"
 
 #include <functional>
--- a/runtime/coretask.h
+++ b/runtime/coretask.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "core/types.h"
 #include "base/mailbox.h"
+#include "core/types.h"
 
 #include <functional>
 #include <optional>
--- a/runtime/fronttask.h
+++ b/runtime/fronttask.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/mailbox.h"
 #include "core/query.h"
 #include "gobject.h"
-#include "base/mailbox.h"
 
 #include <libsoup/soup.h>
 
--- a/runtime/instance.cpp
+++ b/runtime/instance.cpp
@@ -1,9 +1,9 @@
 #include "instance.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "core/diagnosis.h"
 #include "core/invariants.h"
-#include "base/log.h"
 
 #include "formats/configurationjson.h"
 
--- a/runtime/peertask.h
+++ b/runtime/peertask.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "base/mailbox.h"
 #include "controltask.h"
 #include "core/control.h"
 #include "core/dispatch.h"
 #include "core/query.h"
-#include "base/mailbox.h"
 #include "peerlink.h"
 
 #include <grpcpp/grpcpp.h>
--- a/tests/adminfixture.h
+++ b/tests/adminfixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/clock.h"
 #include "formats/configurationjson.h"
 #include "runtime/admintask.h"
-#include "base/clock.h"
 #include "runtime/embeddedstore.h"
 
 #include <fstream>
--- /dev/null
+++ b/tests/front_links.cpp
@@ -0,0 +1,221 @@
+#include <catch2/catch.hpp>
+
+#include "front/httplinks.h"
+#include "scriptedserver.h"
+#include "testclient.h"
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+using namespace crocusreach;
+using namespace crocusreach::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Records what becomes of the sends on connections to one server.
+struct LinksBench
+{
+    LinksBench()
+    {
+        this->thread.run([this] {
+            this->links = std::make_unique<HttpLinks>(
+                    this->thread.reactor(), KeepAlive(),
+                    LinkEvents{[this](std::uint64_t, HttpMessage &&response, bool usable) {
+                                   const auto lock = std::lock_guard(this->mutex);
+                                   this->answers.push_back({std::move(response), usable});
+                               },
+                               [this](std::uint64_t, LinkFailure failure) {
+                                   const auto lock = std::lock_guard(this->mutex);
+                                   this->failures.push_back(failure);
+                               },
+                               [this](std::uint64_t) {
+                                   const auto lock = std::lock_guard(this->mutex);
+                                   ++this->closed;
+                               },
+                               [](const HttpMessage &response, std::string_view id) {
+                                   return findHeader(response, "Id").value_or(id) == id;
+                               }});
+        });
+    }
+
+    ~LinksBench()
+    {
+        this->thread.run([this] { this->links.reset(); });
+    }
+
+    LinksBench(const LinksBench &) = delete;
+    auto operator=(const LinksBench &) -> LinksBench & = delete;
+
+    auto send(const std::string &address, std::uint64_t link, bool open, const std::string &id = "1")
+            -> void
+    {
+        this->thread.run([&] {
+            auto request = LinkSend();
+            request.link = link;
+            request.open = open;
+            request.address = address;
+            request.head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            request.requestId = id;
+            this->links->send(std::move(request));
+        });
+    }
+
+    struct Answer
+    {
+        HttpMessage response;
+        bool usable = false;
+    };
+
+    auto waitAnswer(std::size_t number = 1) -> Answer
+    {
+        REQUIRE(awaitTrue([&] {
+            const auto lock = std::lock_guard(this->mutex);
+            return this->answers.size() >= number || !this->failures.empty();
+        }));
+        const auto lock = std::lock_guard(this->mutex);
+        return this->answers.at(number - 1);
+    }
+
+    auto waitFailure() -> LinkFailure
+    {
+        REQUIRE(awaitTrue([&] {
+            const auto lock = std::lock_guard(this->mutex);
+            return !this->failures.empty();
+        }));
+        const auto lock = std::lock_guard(this->mutex);
+        return this->failures.front();
+    }
+
+    ReactorThread thread;
+    std::unique_ptr<HttpLinks> links;
+    std::mutex mutex;
+    std::vector<Answer> answers; // guarded by mutex, as are the following
+    std::vector<LinkFailure> failures;
+    int closed = 0;
+};
+
+} // namespace
+
+SCENARIO("a connection to a leaf tells apart what belongs to its request")
+{
+    auto bench = LinksBench();
+    GIVEN("a leaf that answers as it should")
+    {
+        auto server = ScriptedServer([](std::string_view) { return Scripted{okReply("{}")}; });
+        bench.send(server.address(), 1, true);
+        CHECK(bench.waitAnswer().usable);
+        THEN("the connection serves the next request")
+        {
+            bench.send(server.address(), 1, false);
+            CHECK(bench.waitAnswer(2).response.body == "{}");
+            CHECK(server.connections() == 1);
+        }
+        THEN("its end while idle is reported")
+        {
+            server.closeConnections();
+            CHECK(awaitTrue([&] {
+                const auto lock = std::lock_guard(bench.mutex);
+                return bench.closed == 1;
+            }));
+        }
+    }
+    GIVEN("a leaf that sends bytes after its answer")
+    {
+        auto server
+                = ScriptedServer([](std::string_view) { return Scripted{okReply("{}") + "junk"}; });
+        bench.send(server.address(), 1, true);
+        THEN("the answer counts and the connection isn't used again")
+        {
+            CHECK_FALSE(bench.waitAnswer().usable);
+        }
+    }
+    GIVEN("a leaf that sends a late second answer to an earlier request first")
+    {
+        auto server = ScriptedServer([](std::string_view) {
+            return Scripted{okReply("{\"old\":1}", "Id: 0\r\n") + okReply("{}", "Id: 1\r\n")};
+        });
+        bench.send(server.address(), 1, true);
+        THEN("the answer with the request's id is taken")
+        {
+            const auto answer = bench.waitAnswer();
+            CHECK(answer.response.body == "{}");
+            CHECK_FALSE(answer.usable);
+        }
+    }
+    GIVEN("a leaf that breaks off its answer")
+    {
+        auto server = ScriptedServer([](std::string_view) {
+            return Scripted{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", true};
+        });
+        bench.send(server.address(), 1, true);
+        THEN("it is no answer")
+        {
+            CHECK(bench.waitFailure() == LinkFailure::Lost);
+        }
+    }
+    GIVEN("an answer without a length that ends with its connection")
+    {
+        auto server = ScriptedServer([](std::string_view) {
+            return Scripted{"HTTP/1.1 200 OK\r\n\r\nwhole", true};
+        });
+        bench.send(server.address(), 1, true);
+        THEN("it is whole")
+        {
+            CHECK(bench.waitAnswer().response.body == "whole");
+        }
+    }
+    GIVEN("an interim response before the real one")
+    {
+        auto server = ScriptedServer([](std::string_view) {
+            return Scripted{"HTTP/1.1 102 Processing\r\n\r\n" + okReply("{}")};
+        });
+        bench.send(server.address(), 1, true);
+        THEN("only the real one counts")
+        {
+            CHECK(bench.waitAnswer().response.status == 200);
+        }
+    }
+    GIVEN("bytes that are no response")
+    {
+        auto server = ScriptedServer([](std::string_view) { return Scripted{"not HTTP at all\r\n"}; });
+        bench.send(server.address(), 1, true);
+        THEN("the send has failed")
+        {
+            CHECK(bench.waitFailure() == LinkFailure::Invalid);
+        }
+    }
+    GIVEN("a leaf that closes the connection after it has read the request")
+    {
+        auto server = ScriptedServer([](std::string_view) { return Scripted{{}, true}; });
+        bench.send(server.address(), 1, true);
+        THEN("the request may have run")
+        {
+            CHECK(bench.waitFailure() == LinkFailure::Lost);
+            CHECK(server.requests() == 1);
+        }
+    }
+    GIVEN("no listener at the address")
+    {
+        auto address = std::string();
+        {
+            auto server = ScriptedServer([](std::string_view) { return Scripted(); });
+            address = server.address();
+        }
+        bench.send(address, 1, true);
+        THEN("the request provably has not run")
+        {
+            CHECK(bench.waitFailure() == LinkFailure::NotSent);
+        }
+    }
+    GIVEN("a send on a connection that is gone")
+    {
+        bench.send("127.0.0.1:1", 7, false);
+        THEN("nothing was sent")
+        {
+            CHECK(bench.waitFailure() == LinkFailure::NotSent);
+        }
+    }
+}
--- /dev/null
+++ b/tests/front_listener.cpp
@@ -0,0 +1,176 @@
+#include <catch2/catch.hpp>
+
+#include "front/httplistener.h"
+#include "testclient.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+using namespace crocusreach;
+using namespace crocusreach::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A listener that answers each request with its target, unless the target says to wait.
+struct ListenerBench
+{
+    ListenerBench()
+    {
+        this->thread.run([this] {
+            this->listener = std::make_unique<HttpListener>(
+                    this->thread.reactor(),
+                    HttpListenerEvents{
+                            [this](CallerId caller, HttpMessage &&request) {
+                                this->requests.push_back(request);
+                                ++this->arrived;
+                                if (request.target != "/wait")
+                                    this->listener->respond(caller, 200, {}, request.target);
+                                else
+                                    this->waiting = caller;
+                            },
+                            [this](CallerId) { ++this->left; }});
+            auto limits = HttpListenerLimits();
+            limits.message = {2000, 1000};
+            limits.headerTime = 600ms;
+            limits.idleTime = 30s;
+            this->listener->setLimits(limits);
+            this->address = std::get<std::string>(this->listener->open("127.0.0.1:0"));
+        });
+    }
+
+    ~ListenerBench()
+    {
+        this->thread.run([this] { this->listener.reset(); });
+    }
+
+    ListenerBench(const ListenerBench &) = delete;
+    auto operator=(const ListenerBench &) -> ListenerBench & = delete;
+
+    ReactorThread thread;
+    std::unique_ptr<HttpListener> listener;
+    std::string address;
+    std::vector<HttpMessage> requests; // of the reactor's thread
+    CallerId waiting = {};
+    std::atomic<int> arrived = 0;
+    std::atomic<int> left = 0;
+};
+
+} // namespace
+
+SCENARIO("a caller's connection carries one request after the other")
+{
+    auto bench = ListenerBench();
+    auto client = TestClient(bench.address);
+    WHEN("two requests are sent at once")
+    {
+        client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        THEN("they are answered in order")
+        {
+            CHECK(client.receive().value().body == "/1");
+            CHECK(client.receive().value().body == "/2");
+        }
+    }
+    WHEN("a body comes in chunks and pieces")
+    {
+        client.send("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+        client.send("c\r\n2\r\nde\r\n0\r\n\r\n");
+        THEN("it is read whole")
+        {
+            CHECK(client.receive().value().status == 200);
+            bench.thread.run([&] { CHECK(bench.requests.at(0).body == "abcde"); });
+        }
+    }
+    WHEN("the caller waits for leave to send its body")
+    {
+        client.send("POST /e HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                    "Expect: 100-continue\r\n\r\n");
+        CHECK(awaitTrue([&] { return !client.isClosed(10ms); }));
+        client.send("ok");
+        THEN("it gets it, and its request is served")
+        {
+            CHECK(client.receive().value().status == 200);
+        }
+    }
+    WHEN("the caller asks for the end of the connection")
+    {
+        client.send("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        THEN("it is answered and closed")
+        {
+            const auto response = client.receive().value();
+            CHECK_FALSE(response.keepAlive);
+            CHECK(client.isClosed());
+        }
+    }
+    WHEN("the caller leaves before the answer")
+    {
+        client.send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+        REQUIRE(awaitTrue([&] { return bench.arrived == 1; }));
+        client.close();
+        THEN("that is noticed at once, and a late answer harms nobody")
+        {
+            // Guards against work of leafs for callers that are gone.
+            CHECK(awaitTrue([&] { return bench.left == 1; }));
+            bench.thread.run([&] { bench.listener->respond(bench.waiting, 200, {}, "late"); });
+        }
+    }
+    WHEN("the instance is about to stop")
+    {
+        client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        REQUIRE(client.receive());
+        bench.thread.run([&] { bench.listener->announceClose(); });
+        THEN("an open connection is served once more, and told to end")
+        {
+            client.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+            CHECK_FALSE(client.receive().value().keepAlive);
+        }
+        THEN("an idle one is closed")
+        {
+            bench.thread.run([&] { bench.listener->closeIdle(); });
+            CHECK(client.isClosed());
+        }
+    }
+}
+
+SCENARIO("what a caller may send is limited")
+{
+    auto bench = ListenerBench();
+    auto client = TestClient(bench.address);
+    const auto statusOf = [&](std::string_view bytes) {
+        client.send(bytes);
+        const auto response = client.receive();
+        return response ? response->status : 0U;
+    };
+    THEN("too large a header gets 431")
+    {
+        CHECK(statusOf("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(3000, 'x') + "\r\n\r\n")
+              == 431);
+    }
+    THEN("too large a body gets 413 before it is read")
+    {
+        CHECK(statusOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n") == 413);
+    }
+    THEN("too large a body in chunks gets 413")
+    {
+        CHECK(statusOf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"
+                       + std::string(2000, 'x'))
+              == 413);
+    }
+    THEN("bytes that are no request get 400")
+    {
+        CHECK(statusOf("HELLO\r\n\r\n") == 400);
+    }
+    THEN("both a length and chunks get 400")
+    {
+        // Guards against a request that is smuggled inside another one.
+        CHECK(statusOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+              == 400);
+    }
+    THEN("a request that doesn't end in time gets 408")
+    {
+        CHECK(statusOf("GET / HTTP/1.1\r\nHo") == 408);
+        CHECK(bench.arrived == 0);
+    }
+}
--- /dev/null
+++ b/tests/platform_exchange.cpp
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+
+#include "platform/exchange.h"
+
+using namespace crocusreach;
+using namespace crocusreach::forward;
+using namespace crocusreach::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto message(std::string_view bytes, HttpSide side) -> HttpMessage
+{
+    auto reader = HttpReader(side, {});
+    reader.feed(bytes);
+    return reader.take().value();
+}
+
+auto request(const std::string &headers) -> std::variant<ForwardRequest, CallerResponse>
+{
+    return readRequest(message("GET /a/b?c HTTP/1.1\r\n" + headers + "\r\n", HttpSide::Request));
+}
+
+auto leafAnswer(const std::string &head) -> LeafAnswer
+{
+    return readLeafAnswer(message("HTTP/1.1 " + head + "Content-Length: 0\r\n\r\n",
+                                  HttpSide::Response));
+}
+
+auto value(const CallerResponse &response, std::string_view name) -> std::string
+{
+    for (const auto &header : response.headers) {
+        if (sameHeaderName(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+} // namespace
+
+SCENARIO("a caller's request is passed on unchanged")
+{
+    const auto read = std::get<ForwardRequest>(
+            request("Host: a.example\r\nCrocusreach-Request-Id: 9c41\r\n"
+                    "Crocusreach-Deadline-Ms: 400\r\nAccept: x\r\nConnection: keep-alive, X-Hop\r\n"
+                    "X-Hop: 1\r\nCrocusreach-Expect-Instance: i-evil\r\nTE: trailers\r\n"));
+    CHECK(read.id == "9c41");
+    CHECK(read.timeLeft == 400ms);
+    CHECK(read.target == "/a/b?c");
+    auto send = SendToLeaf();
+    send.request = std::make_shared<ForwardRequest>(read);
+    send.leafId = "i-1";
+    send.timeLeft = 350ms;
+    const auto written = writeLeafRequest(send);
+    const auto sent = message(written.head, HttpSide::Request);
+    THEN("the leaf gets its headers, what is left of the time and whom it is meant for")
+    {
+        CHECK(findHeader(sent, "Accept") == "x");
+        CHECK(findHeader(sent, "Host") == "a.example");
+        CHECK(findHeader(sent, "Crocusreach-Request-Id") == "9c41");
+        CHECK(findHeader(sent, "Crocusreach-Deadline-Ms") == "350");
+        CHECK(findHeader(sent, "Crocusreach-Expect-Instance") == "i-1");
+    }
+    THEN("headers of the connection, and those that only this side may set, are left out")
+    {
+        CHECK_FALSE(findHeader(sent, "X-Hop"));
+        CHECK_FALSE(findHeader(sent, "TE"));
+        CHECK_FALSE(findHeader(sent, "Connection"));
+        CHECK(written.head.find("i-evil") == std::string::npos);
+    }
+}
+
+SCENARIO("a request that can't be forwarded is answered with the reason")
+{
+    const auto refused = [](const std::string &headers) {
+        return std::get<CallerResponse>(request(headers)).status;
+    };
+    CHECK(refused("Host: a\r\n") == 400);
+    CHECK(refused("Crocusreach-Request-Id: 1\r\n") == 400);
+    CHECK(refused("Host: a\r\nCrocusreach-Request-Id: 1\r\nCrocusreach-Deadline-Ms: soon\r\n")
+          == 400);
+    THEN("without a deadline, the route's time counts")
+    {
+        CHECK(std::get<ForwardRequest>(request("Host: a\r\nCrocusreach-Request-Id: 1\r\n")).timeLeft
+              == 1h);
+    }
+}
+
+SCENARIO("what a leaf says of a request is told apart")
+{
+    const auto receipt = std::string("Crocusreach-Server-Stamp: 3e1b\r\n");
+    THEN("a success needs a receipt and a plain body")
+    {
+        CHECK(leafAnswer("200 OK\r\n" + receipt).kind == LeafAnswerKind::Success);
+        CHECK(leafAnswer("200 OK\r\n").kind == LeafAnswerKind::Failure);
+        CHECK(leafAnswer("200 OK\r\n").status == 0);
+        CHECK(leafAnswer("200 OK\r\nContent-Encoding: gzip\r\n" + receipt).kind
+              == LeafAnswerKind::Failure);
+    }
+    THEN("only the header says that a request has not run")
+    {
+        const auto shed = leafAnswer("503 Full\r\nCrocusreach-Not-Executed: 1\r\n");
+        CHECK(shed.kind == LeafAnswerKind::NotRun);
+        const auto failure = leafAnswer("503 Broken\r\n" + receipt);
+        CHECK(failure.kind == LeafAnswerKind::Failure);
+        CHECK(failure.soundsNotRun);
+        CHECK(leafAnswer("421 Elsewhere\r\n").kind == LeafAnswerKind::OtherLeaf);
+    }
+    THEN("its load is read, and nonsense is no load")
+    {
+        const auto loadOf = [&](const std::string &text) {
+            return leafAnswer("200 OK\r\nCrocusreach-Server-Load: " + text + "\r\n" + receipt).load;
+        };
+        CHECK(loadOf("3,1,8").value().waiting == 1);
+        CHECK_FALSE(loadOf("3,1"));
+        CHECK_FALSE(loadOf("a,b,c"));
+    }
+    THEN("an answer belongs to the request whose id it echoes")
+    {
+        const auto echoed = message("HTTP/1.1 200 OK\r\nCrocusreach-Request-Id: 9c41\r\n"
+                                    "Content-Length: 0\r\n\r\n",
+                                    HttpSide::Response);
+        CHECK(belongs(echoed, "9c41"));
+        CHECK_FALSE(belongs(echoed, "9c42"));
+    }
+}
+
+SCENARIO("answers to callers say what they are")
+{
+    THEN("a merged one names its parts and what is missing")
+    {
+        const auto response = writeAnswer(MergedAnswer{{"a", "b"}, 1, "records"});
+        CHECK(response.status == 200);
+        CHECK(value(response, "Crocusreach-Part-Stamps") == "a, b");
+        CHECK(value(response, "Crocusreach-Missing-Parts") == "1");
+        CHECK(response.body == "records");
+    }
+    THEN("a refusal is 503 with the time to come back, a fraction of a second")
+    {
+        const auto response = writeAnswer(OwnAnswer{OwnStatus::NotRun, 125ms});
+        CHECK(response.status == 503);
+        CHECK(value(response, "Retry-After") == "0.125");
+    }
+    THEN("failures promise nothing")
+    {
+        CHECK(writeAnswer(OwnAnswer{OwnStatus::Failed, {}}).status == 502);
+        CHECK(writeAnswer(OwnAnswer{OwnStatus::TimedOut, {}}).status == 504);
+        CHECK(writeAnswer(OwnAnswer{OwnStatus::NoRoute, {}}).status == 404);
+    }
+}
--- /dev/null
+++ b/tests/platform_objects.cpp
@@ -0,0 +1,238 @@
+#include <catch2/catch.hpp>
+
+#include "platform/objects.h"
+
+#include <random>
+
+using namespace crocusreach;
+using namespace crocusreach::forward;
+using namespace crocusreach::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto configuration = R"({"meta":{"name":"main","revision":9},"spec":{"version":7,
+"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/all/","type":"safe","timeout_ms":800,
+"target_latency_ms":120,"priority":1,"gather":["s1","s2"],"max_attempts":2,"top_k":50,
+"min_shard_ratio":0.89},{"name":"r2","hostname":"a.example","path_prefix":"/one/","type":"unsafe",
+"timeout_ms":3000,"priority":2,"backend":"s3","max_attempts":1},{"name":"r3","hostname":"a.example",
+"path_prefix":"/some/","type":"safe","timeout_ms":3000,"traffic_split":[{"backend":"s3","weight":3},
+{"backend":"s4","weight":1}]}],"backends":[{"name":"s1","max_conns":31,"warmup_per_s":2.5}],
+"limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3000,
+"idle_timeout_ms":15000}},"status":null})";
+
+constexpr auto leafEntry = R"({"meta":{"name":"i-1","revision":12},"spec":{"backend":"s1",
+"address":"10.0.0.1:80","zone":"muar-a","version":"v1","slots":3,"state":"ready",
+"warmup_left_ms":1500,"seq":4,"born":1790000000000},"status":null})";
+
+auto reply(std::uint32_t status, std::string body) -> HttpMessage
+{
+    auto message = HttpMessage();
+    message.status = status;
+    message.body = std::move(body);
+    return message;
+}
+
+auto list(ObjectKind kind, const std::string &items, const std::string &rest = "false") -> ObjectsListed
+{
+    const auto body = R"({"items":[)" + items + R"(],"more":)" + rest + R"(,"current_rev":20})";
+    return std::get<ObjectsListed>(readStoreReply(ListObjects{kind, {}}, reply(200, body)));
+}
+
+auto onlyContent(ObjectKind kind, const std::string &item) -> ObjectContent
+{
+    return list(kind, item).objects.at(0).content;
+}
+
+auto replaced(std::string text, std::string_view part, std::string_view by) -> std::string
+{
+    return text.replace(text.find(part), part.size(), by);
+}
+
+} // namespace
+
+SCENARIO("the operators' desired state is read")
+{
+    const auto table = std::get<RouteTablePtr>(onlyContent(ObjectKind::Routes, configuration));
+    THEN("routes hold what their fields say")
+    {
+        REQUIRE(table->routes.size() == 3);
+        CHECK(table->version == 7);
+        const auto *all = findRoute(*table, "a.example", "/all/x");
+        REQUIRE(all != nullptr);
+        CHECK(all->idempotent);
+        CHECK(all->shards.size() == 2);
+        CHECK(all->topRecords == 50);
+        CHECK(all->minShardRatio == 0.89);
+        CHECK(all->targetLatency == 120ms);
+        const auto *one = findRoute(*table, "a.example", "/one/x");
+        REQUIRE(one != nullptr);
+        CHECK_FALSE(one->idempotent);
+        CHECK(one->maxAttempts == 1);
+        CHECK(one->targetLatency == 3s);
+        const auto *some = findRoute(*table, "a.example", "/some/x");
+        REQUIRE(some != nullptr);
+        CHECK(some->split.at(0).weight == 3);
+    }
+    THEN("services and limits are there")
+    {
+        CHECK(findServiceSpec(*table, "s1")->maxConnections == 31);
+        CHECK(findServiceSpec(*table, "s1")->coldRate == 2.5);
+        CHECK(table->limits.headerBytes == 100);
+        CHECK(table->limits.idleTime == 15s);
+    }
+    THEN("a faulty one is rejected whole, with the field")
+    {
+        const auto faulty = replaced(configuration, R"("timeout_ms":800)", R"("timeout_ms":"x")");
+        const auto content = onlyContent(ObjectKind::Routes, faulty);
+        const auto *unusable = std::get_if<UnusableObject>(&content);
+        REQUIRE(unusable != nullptr);
+        CHECK(unusable->error.text == "routes.timeout_ms: must be a whole number of zero or more");
+    }
+    THEN("an unknown kind of request isn't repeated")
+    {
+        const auto other = replaced(configuration, R"("type":"safe")", R"("type":"new")");
+        const auto read = std::get<RouteTablePtr>(onlyContent(ObjectKind::Routes, other));
+        CHECK_FALSE(read->routes.at(0).idempotent);
+    }
+}
+
+SCENARIO("entries of leafs are read")
+{
+    const auto leaf = std::get<LeafRecord>(onlyContent(ObjectKind::Leafs, leafEntry));
+    CHECK(leaf.id == "i-1");
+    CHECK(leaf.service == "s1");
+    CHECK(leaf.domain == "muar-a");
+    CHECK(leaf.coldLeft == 1500ms);
+    CHECK(leaf.startedAt == 1790000000000);
+    CHECK(leaf.revision == 12);
+    CHECK_FALSE(leaf.draining);
+    GIVEN("entries of another writer")
+    {
+        const auto faults = std::to_array<std::pair<std::string_view, std::string_view>>({
+                {R"("state":"ready")", R"("state":"asleep")"},
+                {R"("state":"ready",)", ""},
+                {R"("slots":3)", R"("slots":"three")"},
+                {R"("slots":3)", R"("slots":-3)"},
+                {R"("address":"10.0.0.1:80",)", ""},
+                {R"("born":1790000000000)", R"("born":"today")"},
+        });
+        for (const auto &[part, by] : faults) {
+            THEN("one with " + std::string(by.empty() ? "a missing field" : by) + " names no leaf")
+            {
+                const auto content
+                        = onlyContent(ObjectKind::Leafs, replaced(leafEntry, part, by));
+                CHECK(std::holds_alternative<UnusableObject>(content));
+            }
+        }
+        THEN("the others hold")
+        {
+            const auto both = list(ObjectKind::Leafs,
+                                   R"({"meta":{"name":"i-0"},"spec":"junk"},)"
+                                           + std::string(leafEntry));
+            REQUIRE(both.objects.size() == 2);
+            CHECK(std::holds_alternative<UnusableObject>(both.objects[0].content));
+            CHECK(std::holds_alternative<LeafRecord>(both.objects[1].content));
+        }
+    }
+}
+
+SCENARIO("replies of the store are told apart")
+{
+    const auto watch = StoreRequest(WatchObjects{ObjectKind::Leafs, 5, 10s});
+    THEN("a list that goes on names where")
+    {
+        CHECK(list(ObjectKind::Leafs, leafEntry, "true").continueAfter == "i-1");
+        CHECK(list(ObjectKind::Leafs, leafEntry).continueAfter.empty());
+    }
+    THEN("changes hold the objects that are gone")
+    {
+        const auto body = R"({"events":[{"deleted":true,"object":)" + std::string(leafEntry)
+                          + R"(}],"current_rev":21})";
+        const auto changed = std::get<ObjectsChanged>(readStoreReply(watch, reply(200, body)));
+        CHECK(changed.revision == 21);
+        CHECK(changed.objects.at(0).deleted);
+        CHECK(changed.objects.at(0).name == "i-1");
+    }
+    THEN("refusals, a lost history and nonsense are no lists")
+    {
+        const auto failureOf = [&](std::uint32_t status, const char *body) {
+            return std::get<CallFailed>(readStoreReply(watch, reply(status, body))).failure;
+        };
+        CHECK(failureOf(503, "") == StoreFailure::Refused);
+        CHECK(failureOf(429, "") == StoreFailure::Refused);
+        CHECK(failureOf(500, "") == StoreFailure::Invalid);
+        CHECK(failureOf(200, "[]") == StoreFailure::Invalid);
+        CHECK(failureOf(200, R"({"events":[]})") == StoreFailure::Invalid);
+        CHECK(std::holds_alternative<HistoryGone>(readStoreReply(watch, reply(410, ""))));
+    }
+    THEN("a registration that exists already is done")
+    {
+        const auto registration = StoreRequest(RegisterInstance{"front-1"});
+        CHECK(std::holds_alternative<CallDone>(readStoreReply(registration, reply(409, "{}"))));
+        CHECK(std::holds_alternative<CallDone>(readStoreReply(registration, reply(200, "{}"))));
+    }
+}
+
+SCENARIO("an instance answers another one as the store would")
+{
+    auto objects = list(ObjectKind::Leafs, leafEntry).objects;
+    const auto pointer = static_cast<const StoredObject *>(&objects.at(0));
+    THEN("a list comes back as it was")
+    {
+        const auto body = writeObjectList({&pointer, 1}, 30);
+        const auto read = std::get<ObjectsListed>(
+                readStoreReply(ListObjects{ObjectKind::Leafs, {}}, reply(200, body)));
+        CHECK(read.revision == 30);
+        CHECK(std::get<LeafRecord>(read.objects.at(0).content).address == "10.0.0.1:80");
+    }
+    THEN("so does a deletion")
+    {
+        objects.at(0).deleted = true;
+        const auto body = writeObjectChanges({&pointer, 1}, 31);
+        const auto read = std::get<ObjectsChanged>(
+                readStoreReply(WatchObjects{ObjectKind::Leafs, 5, 1s}, reply(200, body)));
+        CHECK(read.objects.at(0).deleted);
+        CHECK(read.objects.at(0).revision == 12);
+    }
+    THEN("its calls are understood")
+    {
+        const auto call = [](const StoreRequest &request) {
+            auto reader = HttpReader(HttpSide::Request, {});
+            reader.feed(writeStoreRequest(request).head);
+            return readObjectCall(reader.take().value());
+        };
+        const auto watch = call(WatchObjects{ObjectKind::Instances, 77, 900ms});
+        REQUIRE(watch);
+        CHECK(std::get<WatchObjects>(*watch).revision == 77);
+        CHECK(std::get<WatchObjects>(*watch).wait == 900ms);
+        CHECK(std::get<WatchObjects>(*watch).kind == ObjectKind::Instances);
+        CHECK(std::holds_alternative<ListObjects>(call(ListObjects{ObjectKind::Routes, {}}).value()));
+    }
+}
+
+SCENARIO("no bytes from the store do harm")
+{
+    auto random = std::mt19937(11);
+    const auto whole = R"({"items":[)" + std::string(configuration) + "," + std::string(leafEntry)
+                       + R"(],"more":false,"current_rev":20})";
+    for (auto round = 0; round < 3000; ++round) {
+        auto text = whole;
+        for (auto change = 0; change < 3; ++change) {
+            const auto at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[at] = static_cast<char>(random() % 256);
+                break;
+            case 1:
+                text.erase(at, random() % 20);
+                break;
+            default:
+                text.insert(at, text.substr(random() % text.size(), 5));
+            }
+        }
+        for (const auto kind : {ObjectKind::Routes, ObjectKind::Leafs})
+            readStoreReply(ListObjects{kind, {}}, reply(200, text));
+    }
+    SUCCEED("no crash");
+}
--- a/tests/runtime_peer.cpp
+++ b/tests/runtime_peer.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "messagequeue.h"
 #include "base/clock.h"
+#include "messagequeue.h"
 #include "runtime/peertask.h"
 
 #include <sys/socket.h>
