--- a/base/log.cpp
+++ b/base/log.cpp
@@ -50,6 +50,8 @@
          "changed settings are in force"},
         {LogEvent::SettingsInvalid, "settings_invalid", Severity::Error,
          "changed settings can't be used; the former ones stay in force"},
+        {LogEvent::ListenerFailed, "listener_failed", Severity::Error,
+         "a listener that requests don't need could not be opened"},
         {LogEvent::ConfigurationInForce, "configuration_in_force", Severity::Info,
          "a newer configuration is in force"},
         {LogEvent::AssignmentInForce, "assignment_in_force", Severity::Info,
--- a/base/log.h
+++ b/base/log.h
@@ -27,6 +27,7 @@
     ReadinessChanged = 107,
     SettingsReloaded = 108,
     SettingsInvalid = 109,
+    ListenerFailed = 110,
     ConfigurationInForce = 200,
     AssignmentInForce = 201,
     SharesChanged = 202,
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -125,30 +125,29 @@
 
 auto Front::open(const FrontSettings &settings) -> Result<Done>
 {
-    const auto log = [](const char *name, const Result<std::string> &address) {
-        logEvent(LogEvent::ListenerOpened,
-                 {{"listener", name}, {"address", std::get<std::string>(address)}});
-    };
-    const auto caller = this->callers.open(settings.callerAddress);
-    if (failed(caller))
-        return std::get<Error>(caller);
-    log("caller", caller);
-    const auto ready = this->readyListener.open(settings.readyAddress);
-    if (failed(ready))
-        return std::get<Error>(ready);
-    log("ready", ready);
-    if (!settings.seedAddress.empty()) {
-        const auto seedOpened = this->seed.open(settings.seedAddress);
-        if (failed(seedOpened))
-            return std::get<Error>(seedOpened);
-        log("seed", seedOpened);
-    }
-    if (settings.adminAddress.empty())
-        return Done();
-    const auto admin = this->adminListener.open(settings.adminAddress);
-    if (failed(admin))
-        return std::get<Error>(admin);
-    log("admin", admin);
+    auto error = std::optional<Error>();
+    // Takes over the address of a listener that has opened.
+    const auto take
+            = [&error](const char *name, const Result<std::string> &opened, std::string &address) {
+                  if (failed(opened)) {
+                      error = std::get<Error>(opened);
+                      return;
+                  }
+                  address = std::get<std::string>(opened);
+                  logEvent(LogEvent::ListenerOpened, {{"listener", name}, {"address", address}});
+              };
+    auto &addresses = this->openAddresses;
+    take("caller", this->callers.open(settings.callerAddress), addresses.caller);
+    take("ready", this->readyListener.open(settings.readyAddress), addresses.ready);
+    if (!settings.seedAddress.empty())
+        take("seed", this->seed.open(settings.seedAddress), addresses.seed);
+    if (error)
+        return *error;
+    // Metrics are not worth a front that doesn't start.
+    if (!settings.adminAddress.empty())
+        take("admin", this->adminListener.open(settings.adminAddress), addresses.admin);
+    if (error)
+        logEvent(LogEvent::ListenerFailed, {{"listener", "admin"}, {"error", describe(*error)}});
     return Done();
 }
 
--- a/front/front.h
+++ b/front/front.h
@@ -15,13 +15,21 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
+#include <string>
 #include <variant>
 
-// One front: the tasks between callers, leafs and the platform's store, in one main loop.
-
 namespace crocusreach {
 
+// Where the listeners really are, since port 0 lets the kernel choose.
+struct FrontAddresses
+{
+    std::string caller;
+    std::string ready;
+    std::string admin;
+    std::string seed;
+};
+
+// One front: the tasks between callers, leafs and the platform's store, in one main loop.
 class Front
 {
 public:
@@ -32,6 +40,8 @@
     Front(const Front &) = delete;
     auto operator=(const Front &) -> Front & = delete;
 
+    auto addresses() const -> const FrontAddresses & { return this->openAddresses; }
+
     // Takes in changed settings. Listeners stay as they are.
     auto reload(const FrontSettings &settings) -> void;
 
@@ -56,6 +66,7 @@
     Reactor reactor;
     forward::Lifecycle lifecycle;
     FrontMetrics metrics;
+    FrontAddresses openAddresses;
     std::uint64_t version = 0; // of the desired state that was logged last
     bool reportedReady = false;
     std::function<auto(bool)->void> onStopped;
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -247,8 +247,8 @@
         {
             // Guards against a loss of power after which leafs refuse new connections, since they
             // still count those of before.
-            constexpr auto domains = std::to_array<std::string_view>(
-                    {"muar-a", "muar-b", "muar-c", "muar-d"});
+            constexpr auto domains
+                    = std::to_array<std::string_view>({"muar-a", "muar-b", "muar-c", "muar-d"});
             auto perLeaf = std::array<int, 3>();
             for (auto instance = 0; instance < 91; ++instance) {
                 share.instanceHash = hashName("front-" + std::to_string(instance));
--- a/tests/front_links.cpp
+++ b/tests/front_links.cpp
@@ -49,8 +49,8 @@
     LinksBench(const LinksBench &) = delete;
     auto operator=(const LinksBench &) -> LinksBench & = delete;
 
-    auto send(const std::string &address, std::uint64_t link, bool open, const std::string &id = "1")
-            -> void
+    auto send(const std::string &address, std::uint64_t link, bool open,
+              const std::string &id = "1") -> void
     {
         this->thread.run([&] {
             auto request = LinkSend();
@@ -180,7 +180,8 @@
     }
     GIVEN("bytes that are no response")
     {
-        auto server = ScriptedServer([](std::string_view) { return Scripted{"not HTTP at all\r\n"}; });
+        auto server
+                = ScriptedServer([](std::string_view) { return Scripted{"not HTTP at all\r\n"}; });
         bench.send(server.address(), 1, true);
         THEN("the send has failed")
         {
--- a/tests/front_listener.cpp
+++ b/tests/front_listener.cpp
@@ -21,16 +21,16 @@
         this->thread.run([this] {
             this->listener = std::make_unique<HttpListener>(
                     this->thread.reactor(),
-                    HttpListenerEvents{
-                            [this](CallerId caller, HttpMessage &&request) {
-                                this->requests.push_back(request);
-                                ++this->arrived;
-                                if (request.target != "/wait")
-                                    this->listener->respond(caller, 200, {}, request.target);
-                                else
-                                    this->waiting = caller;
-                            },
-                            [this](CallerId) { ++this->left; }});
+                    HttpListenerEvents{[this](CallerId caller, HttpMessage &&request) {
+                                           this->requests.push_back(request);
+                                           ++this->arrived;
+                                           if (request.target != "/wait")
+                                               this->listener->respond(caller, 200, {},
+                                                                       request.target);
+                                           else
+                                               this->waiting = caller;
+                                       },
+                                       [this](CallerId) { ++this->left; }});
             auto limits = HttpListenerLimits();
             limits.message = {2000, 1000};
             limits.headerTime = 600ms;
--- a/tests/platform_exchange.cpp
+++ b/tests/platform_exchange.cpp
@@ -23,8 +23,8 @@
 
 auto leafAnswer(const std::string &head) -> LeafAnswer
 {
-    return readLeafAnswer(message("HTTP/1.1 " + head + "Content-Length: 0\r\n\r\n",
-                                  HttpSide::Response));
+    return readLeafAnswer(
+            message("HTTP/1.1 " + head + "Content-Length: 0\r\n\r\n", HttpSide::Response));
 }
 
 auto value(const CallerResponse &response, std::string_view name) -> std::string
--- a/tests/platform_objects.cpp
+++ b/tests/platform_objects.cpp
@@ -33,7 +33,8 @@
     return message;
 }
 
-auto list(ObjectKind kind, const std::string &items, const std::string &rest = "false") -> ObjectsListed
+auto list(ObjectKind kind, const std::string &items, const std::string &rest = "false")
+        -> ObjectsListed
 {
     const auto body = R"({"items":[)" + items + R"(],"more":)" + rest + R"(,"current_rev":20})";
     return std::get<ObjectsListed>(readStoreReply(ListObjects{kind, {}}, reply(200, body)));
@@ -120,16 +121,14 @@
         for (const auto &[part, by] : faults) {
             THEN("one with " + std::string(by.empty() ? "a missing field" : by) + " names no leaf")
             {
-                const auto content
-                        = onlyContent(ObjectKind::Leafs, replaced(leafEntry, part, by));
+                const auto content = onlyContent(ObjectKind::Leafs, replaced(leafEntry, part, by));
                 CHECK(std::holds_alternative<UnusableObject>(content));
             }
         }
         THEN("the others hold")
         {
-            const auto both = list(ObjectKind::Leafs,
-                                   R"({"meta":{"name":"i-0"},"spec":"junk"},)"
-                                           + std::string(leafEntry));
+            const auto both = list(ObjectKind::Leafs, R"({"meta":{"name":"i-0"},"spec":"junk"},)"
+                                                              + std::string(leafEntry));
             REQUIRE(both.objects.size() == 2);
             CHECK(std::holds_alternative<UnusableObject>(both.objects[0].content));
             CHECK(std::holds_alternative<LeafRecord>(both.objects[1].content));
@@ -207,7 +206,8 @@
         CHECK(std::get<WatchObjects>(*watch).revision == 77);
         CHECK(std::get<WatchObjects>(*watch).wait == 900ms);
         CHECK(std::get<WatchObjects>(*watch).kind == ObjectKind::Instances);
-        CHECK(std::holds_alternative<ListObjects>(call(ListObjects{ObjectKind::Routes, {}}).value()));
+        CHECK(std::holds_alternative<ListObjects>(
+                call(ListObjects{ObjectKind::Routes, {}}).value()));
     }
 }
 
