--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t latencyUpdateInterval = 16;
 // A pause or a lost answer says little about a leaf's speed; beyond this ratio it isn't weighed.
 constexpr double greatestRatio = 4;
+// A new connection takes a leaf up to this time.
+constexpr Duration openTime = std::chrono::milliseconds(6);
 // After its caller has left, a send that may be repeated is cancelled if it takes longer than
 // this. Shorter ones end by themselves and keep their connection.
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
@@ -304,9 +306,8 @@
     actions.emplace_back(CloseLink{id});
 }
 
-// What an answer shows of its leaf.
-auto observe(LeafState &leaf, const Send &send, const LeafAnswer &answer, const Route *route,
-             TimePoint now) -> void
+// What an answer shows of its leaf, also if its call has ended meanwhile.
+auto observe(LeafState &leaf, const Send &send, const LeafAnswer &answer, TimePoint now) -> void
 {
     if (answer.load) {
         leaf.load = *answer.load;
@@ -322,13 +323,12 @@
     case LeafAnswerKind::Success:
         break;
     }
-    if (route == nullptr || send.opened)
-        return noteAnswer(leaf, {}, now);
-    const auto usual = std::max(Duration(1), usualLatency(*send.stats, *route));
-    const auto ratio
-            = static_cast<double>((now - send.sentAt).count()) / static_cast<double>(usual.count());
-    noteAnswer(leaf, std::min(ratio, greatestRatio), now);
-    recordLatency(*send.stats, now - send.sentAt, now);
+    const auto latency = now - send.sentAt - (send.opened ? openTime : Duration());
+    const auto ratio = static_cast<double>(latency.count())
+                       / static_cast<double>(std::max(Duration(1), send.usual).count());
+    noteAnswer(leaf, std::clamp(ratio, 0.0, greatestRatio), now);
+    if (!send.opened)
+        recordLatency(*send.stats, latency, now);
 }
 
 auto count(ForwarderCounters &counters, LeafAnswerKind kind) -> void
@@ -406,8 +406,7 @@
     count(forwarder.counters, event.answer.kind);
     auto &leaf = leafAt(forwarder.leafs, send.leaf);
     const auto call = forwarder.calls.find(send.call);
-    const auto *route = call == forwarder.calls.end() ? nullptr : call->second->route;
-    observe(leaf, send, event.answer, route, now);
+    observe(leaf, send, event.answer, now);
     if (!event.linkUsable || !leaf.listed)
         closeLink(forwarder, send.link, actions);
     else
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -65,6 +65,7 @@
     bool opened = false;
     bool idempotent = false;
     TimePoint sentAt = {};
+    Duration usual = {}; // latency of the route when it was sent
     TimePoint endAt = {}; // without an answer, the connection is closed
 };
 
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -228,8 +228,14 @@
                 {
                     bench.actions.clear();
                     bench.answer(sends[0]);
-                    THEN("nobody gets it, and its connection is free again")
+                    THEN("nobody gets it, its connection is free again, and its leaf is known as slow")
                     {
+                        // Guards against a slow leaf whose answers never count, since each of
+                        // them comes after its call has ended.
+                        const auto &leafs = bench.forwarder.leafs;
+                        const auto index = leafs.byId.at("shard-0-a");
+                        const auto &leaf = leafs.leafs[static_cast<std::size_t>(index)];
+                        CHECK(slownessOf(leaf, bench.now) > 1.5);
                         // Guards against an answer that is taken for one of a later call.
                         CHECK(bench.answerOf(call) == nullptr);
                         CHECK(bench.closedLinks() == 0);
