Close connections sooner where instances outnumber a leaf's connections

Change: where an instance's part is below one connection, it is open for that part of the idle time only.

--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -71,6 +71,7 @@
     std::optional<TimePoint> removeAt; // a removal that takes effect at this time
     bool misdirected = false; // another leaf answered at the address
     bool preferred = true; // this instance keeps connections to it
+    double linkShare = 1; // connections to it that this instance may keep, if below one
     std::uint64_t idHash = 0;
     std::vector<Link> links;
     std::vector<OutstandingSend> outstanding; // oldest first
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -28,6 +28,7 @@
 constexpr double sharedConnections = 0.45;
 // Of a leaf that this instance keeps no connections to.
 constexpr Duration otherLeafCost = std::chrono::milliseconds(8);
+constexpr Duration shortestIdleTime = std::chrono::milliseconds(300);
 constexpr Duration otherLeafIdleTime = std::chrono::seconds(1);
 // Of the stated cold rate, the part that instances share out.
 constexpr double sharedColdRate = 0.5;
@@ -102,10 +103,9 @@
     const auto part = limited ? sharedConnections * query.spec->maxConnections
                                         / std::max(1U, share.instances)
                               : 1.0;
-    auto kept = list.size();
-    if (part < 1)
-        kept = std::max(std::size_t(1),
-                        static_cast<std::size_t>(part * static_cast<double>(list.size())));
+    const auto whole = part * static_cast<double>(list.size());
+    const auto kept
+            = part < 1 ? std::max(std::size_t(1), static_cast<std::size_t>(whole)) : list.size();
     const auto rank = [&](LeafIndexNumber index) {
         const auto &leaf = leafAt(table, index);
         return std::pair(leaf.record.domain != query.ownDomain,
@@ -116,6 +116,7 @@
             return isUsable(table, leafAt(table, other)) && rank(other) < rank(index);
         });
         leafAt(table, index).preferred = static_cast<std::size_t>(better) < kept;
+        leafAt(table, index).linkShare = std::min(1.0, whole);
     }
 }
 
@@ -139,7 +140,10 @@
 {
     const auto limit = link.idleLimit > Duration() ? link.idleLimit : assumedIdleLimit;
     const auto used = scaled(limit, usedIdleTime);
-    return leaf.preferred ? used : std::min(used, otherLeafIdleTime);
+    if (!leaf.preferred)
+        return std::min(used, otherLeafIdleTime);
+    // Less than one connection: it is open for that part of the time only.
+    return std::max(std::min(used, shortestIdleTime), scaled(used, leaf.linkShare));
 }
 
 auto placeSend(LeafTable &table, const PlacementQuery &query, const InstanceShare &share,
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -262,6 +262,15 @@
                 CHECK(connections <= 35);
             CHECK(perLeaf[0] + perLeaf[1] + perLeaf[2] == 91);
         }
+        THEN("with far more instances, connections are closed the sooner")
+        {
+            // Guards against leafs that are full of idle connections where each instance has one.
+            share.instances = 910;
+            chosen();
+            const auto link = Link{LinkId(1), LinkState::Idle, now, 10s};
+            const auto &kept = near.preferred ? near : far.preferred ? far : third;
+            CHECK(idleTime(kept, link) < 1s);
+        }
         THEN("a connection to another leaf is closed soon after use")
         {
             share.instanceHash = 1;
