Notice a cut way to leafs and keep two connections to a leaf

Change: core/reachability judges failure domains by the sends that are overdue; a front that reaches none refuses at once, says so to the balancer, and tries the way each 150 ms. Half of a leaf's connections are shared out.

--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -27,6 +27,7 @@
 // After its caller has left, a send that may be repeated is cancelled if it takes longer than
 // this. Shorter ones end by themselves and keep their connection.
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
+constexpr Duration reachabilityInterval = std::chrono::milliseconds(20);
 constexpr Duration linkCheckInterval = std::chrono::milliseconds(500);
 // Calls in progress take memory; beyond this number new ones are turned away.
 constexpr std::size_t mostCalls = 2000;
@@ -183,6 +184,22 @@
     return stats.longestTimeLeft - timeLeft;
 }
 
+auto checkReachability(Forwarder &forwarder, TimePoint now) -> void
+{
+    if (now < forwarder.nextReachabilityCheck)
+        return;
+    forwarder.nextReachabilityCheck = now + reachabilityInterval;
+    auto overdue = std::vector<OverdueSend>();
+    for (std::size_t number = 0; number < forwarder.leafs.leafs.size(); ++number) {
+        const auto &leaf = forwarder.leafs.leafs[number];
+        for (const auto &send : leaf.outstanding) {
+            if (send.overdueAt <= now)
+                overdue.push_back({leaf.record.domain, number});
+        }
+    }
+    updateReachability(forwarder.reachability, overdue, now);
+}
+
 // Starts a call, which may have arrived some time ago.
 auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
            std::vector<ForwardAction> &actions) -> void
@@ -192,6 +209,9 @@
     const auto *route = findRoute(*forwarder.table, event.request->host, event.request->target);
     if (route == nullptr)
         return refuse(forwarder, event, nullptr, OwnStatus::NoRoute, CallEnd::NoRoute, actions);
+    checkReachability(forwarder, now);
+    if (isCutOff(forwarder.reachability, now) && !takeTrial(forwarder.reachability, now))
+        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::CutOff, actions);
     if (forwarder.calls.size() >= mostCalls || forwarder.waiting.size() >= mostWaiting)
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::Overloaded, actions);
     auto owned = std::make_unique<Call>();
@@ -414,6 +434,7 @@
     auto &leaf = leafAt(forwarder.leafs, send.leaf);
     const auto call = forwarder.calls.find(send.call);
     observe(leaf, send, event.answer, now);
+    noteDomainAnswer(forwarder.reachability, leaf.record.domain, now);
     if (!event.linkUsable || !leaf.listed)
         closeLink(forwarder, send.link, actions);
     else
@@ -576,6 +597,7 @@
     applyRemovals(forwarder.leafs, now);
     refuseHeld(forwarder, now, actions);
     closeStaleLinks(forwarder, now, actions);
+    checkReachability(forwarder, now);
     while (!forwarder.alarms.empty() && forwarder.alarms.top().at <= now) {
         const auto alarm = forwarder.alarms.top();
         forwarder.alarms.pop();
@@ -635,6 +657,11 @@
         forwarder.share.instances = settings.assumedInstances;
 }
 
+auto reachesLeafs(const Forwarder &forwarder, TimePoint now) -> bool
+{
+    return !isCutOff(forwarder.reachability, now);
+}
+
 auto canServe(const Forwarder &forwarder) -> bool
 {
     return forwarder.stateRead && forwarder.table != nullptr && !forwarder.leafs.byService.empty();
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -4,6 +4,7 @@
 #include "forwardstate.h"
 #include "leaftable.h"
 #include "placement.h"
+#include "reachability.h"
 #include "repeatbudget.h"
 #include "routing.h"
 
@@ -65,6 +66,8 @@
     RouteTablePtr table;
     LeafTable leafs;
     InstanceShare share;
+    Reachability reachability;
+    TimePoint nextReachabilityCheck = {};
     bool instancesKnown = false;
     bool refusesNew = false;
     bool stateRead = false;
@@ -92,6 +95,9 @@
 // The time at which a ForwarderTick is due.
 auto nextWake(const Forwarder &forwarder) -> std::optional<TimePoint>;
 
+// False while no leaf can be reached, so that callers are better off elsewhere.
+auto reachesLeafs(const Forwarder &forwarder, TimePoint now) -> bool;
+
 // True once a desired state and at least one leaf are known.
 auto canServe(const Forwarder &forwarder) -> bool;
 
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -227,6 +227,7 @@
     TimedOut,
     CallerLeft,
     Stopping,
+    CutOff, // this instance reaches no leaf
     Count
 };
 
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -37,8 +37,12 @@
 auto placementQuery(const Forwarder &forwarder, const Call &call, const Part &part)
         -> PlacementQuery
 {
-    return {part.service, findServiceSpec(*call.table, part.service), forwarder.settings.domain,
-            usualLatency(*call.stats, *call.route), part.tried};
+    return {part.service,
+            findServiceSpec(*call.table, part.service),
+            forwarder.settings.domain,
+            usualLatency(*call.stats, *call.route),
+            part.tried,
+            &forwarder.reachability};
 }
 
 auto startSend(Forwarder &forwarder, Call &call, std::size_t partNumber, const Placement &placement,
@@ -69,6 +73,7 @@
         link->state = LinkState::Busy;
     }
     leaf.outstanding.push_back({send.id, now, overdueAt});
+    noteDomainSend(forwarder.reachability, leaf.record.domain, now);
     part.tried.push_back(placement.leaf);
     part.running.push_back(send.id);
     part.doubtful = placement.doubtful;
--- a/core/lifecycle.cpp
+++ b/core/lifecycle.cpp
@@ -34,10 +34,10 @@
         lifecycle.stopRequestedAt = now;
 }
 
-auto isReady(Lifecycle &lifecycle, bool canServe) -> bool
+auto isReady(Lifecycle &lifecycle, bool canServe, bool reachesLeafs) -> bool
 {
     lifecycle.readyOnce = lifecycle.readyOnce || canServe;
-    return lifecycle.readyOnce && !lifecycle.stopRequestedAt;
+    return lifecycle.readyOnce && reachesLeafs && !lifecycle.stopRequestedAt;
 }
 
 auto announcesClose(const Lifecycle &lifecycle) -> bool
--- a/core/lifecycle.h
+++ b/core/lifecycle.h
@@ -25,9 +25,10 @@
 
 auto requestStop(Lifecycle &lifecycle, TimePoint now) -> void;
 
-// Ready as soon as requests can be served, until a stop is asked for. A later loss of the store
-// doesn't make the instance unready: it serves with what it knows.
-auto isReady(Lifecycle &lifecycle, bool canServe) -> bool;
+// Ready as soon as requests can be served, until a stop is asked for, and while leafs can be
+// reached. A later loss of the store doesn't make the instance unready: it serves with what it
+// knows.
+auto isReady(Lifecycle &lifecycle, bool canServe, bool reachesLeafs) -> bool;
 
 // Answers announce the end of their connection from the stop request on.
 auto announcesClose(const Lifecycle &lifecycle) -> bool;
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -25,7 +25,7 @@
 constexpr Duration loadValidity = std::chrono::milliseconds(300);
 // Of the stated limit of connections, the part that instances share out. The rest is for as many
 // that instances have left behind when they lost power.
-constexpr double sharedConnections = 0.45;
+constexpr double sharedConnections = 0.5;
 // Of a leaf that this instance keeps no connections to.
 constexpr Duration otherLeafCost = std::chrono::milliseconds(8);
 constexpr Duration shortestIdleTime = std::chrono::milliseconds(300);
@@ -69,6 +69,11 @@
     return std::max(own, reported);
 }
 
+auto isUnreachable(const LeafState &leaf, const PlacementQuery &query, TimePoint now) -> bool
+{
+    return query.reachability != nullptr && isSuspect(*query.reachability, leaf.record.domain, now);
+}
+
 auto expectedTime(const LeafState &leaf, const PlacementQuery &query, bool opens, TimePoint now)
         -> Duration
 {
@@ -87,7 +92,7 @@
     if (opens)
         time += openCost;
     time += scaled(failureCost, failureRateOf(leaf, now));
-    if (isStalled(leaf, now))
+    if (isStalled(leaf, now) || isUnreachable(leaf, query, now))
         time += stalledCost;
     if (now < leaf.avoidUntil)
         time += avoidedCost;
@@ -171,7 +176,10 @@
         if (time >= bestTime)
             continue;
         bestTime = time;
-        best = Placement{index, {}, isStalled(leaf, now) || now < leaf.avoidUntil};
+        best = Placement{index,
+                         {},
+                         isStalled(leaf, now) || now < leaf.avoidUntil
+                                 || isUnreachable(leaf, query, now)};
         if (link != nullptr)
             best->idleLink = link->id;
     }
--- a/core/placement.h
+++ b/core/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "leaftable.h"
+#include "reachability.h"
 #include "routing.h"
 
 #include <optional>
@@ -21,7 +22,7 @@
 };
 
 // Connections that this instance may keep to one leaf. After a loss of power, leafs still count the
-// connections of before for some time, so that all instances together use less than half.
+// connections of before for some time, so that all instances together use at most half.
 auto linkLimit(const ServiceSpec *spec, const InstanceShare &share) -> std::size_t;
 
 struct PlacementQuery
@@ -31,6 +32,7 @@
     std::string_view ownDomain;
     Duration usualLatency = {}; // of the route at a leaf
     std::span<const LeafIndexNumber> tried; // not to be used again
+    const Reachability *reachability = nullptr; // null: all domains can be reached
 };
 
 struct Placement
--- /dev/null
+++ b/core/reachability.cpp
@@ -0,0 +1,73 @@
+#include "reachability.h"
+
+#include <algorithm>
+#include <set>
+
+namespace crocusreach::forward {
+
+namespace {
+
+// Leafs stand still for up to 200 ms, though not several of a domain at once.
+constexpr Duration silenceOfDomain = std::chrono::milliseconds(250);
+constexpr std::size_t leastLeafs = 2;
+constexpr std::size_t leastSends = 3;
+constexpr Duration suspicionTime = std::chrono::seconds(1);
+constexpr Duration trialInterval = std::chrono::milliseconds(150);
+
+} // namespace
+
+auto noteDomainSend(Reachability &reachability, std::string_view domain, TimePoint now) -> void
+{
+    const auto found = reachability.domains.find(domain);
+    if (found == reachability.domains.end())
+        reachability.domains.emplace(domain, DomainState{now, {}});
+}
+
+auto noteDomainAnswer(Reachability &reachability, std::string_view domain, TimePoint now) -> void
+{
+    const auto found = reachability.domains.find(domain);
+    if (found != reachability.domains.end())
+        found->second = {now, {}};
+}
+
+auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
+                        TimePoint now) -> void
+{
+    for (auto &[domain, state] : reachability.domains) {
+        if (now - state.lastAnswerAt < silenceOfDomain)
+            continue;
+        auto sends = std::size_t(0);
+        auto leafs = std::set<std::size_t>();
+        for (const auto &send : overdue) {
+            if (send.domain != domain)
+                continue;
+            ++sends;
+            leafs.insert(send.leaf);
+        }
+        if (sends >= leastSends && leafs.size() >= leastLeafs)
+            state.suspectUntil = now + suspicionTime;
+    }
+}
+
+auto isSuspect(const Reachability &reachability, std::string_view domain, TimePoint now) -> bool
+{
+    const auto found = reachability.domains.find(domain);
+    return found != reachability.domains.end() && now < found->second.suspectUntil;
+}
+
+auto isCutOff(const Reachability &reachability, TimePoint now) -> bool
+{
+    return !reachability.domains.empty()
+           && std::all_of(reachability.domains.begin(), reachability.domains.end(),
+                          [now](const auto &item) { return now < item.second.suspectUntil; });
+}
+
+auto takeTrial(Reachability &reachability, TimePoint now) -> bool
+{
+    if (now < reachability.nextTrial)
+        return false;
+    reachability.nextTrial = now + trialInterval;
+    return true;
+}
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/reachability.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "types.h"
+
+#include <cstddef>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+// Which failure domains this instance can't reach. It answers this load: the way to all leafs of a
+// domain, or to all leafs, is cut without a sign, and each leaf by itself would have to be found
+// silent. Judged by own sends only, since health pages and registries show nothing of the way.
+
+namespace crocusreach::forward {
+
+// A send whose answer is overdue.
+struct OverdueSend
+{
+    std::string_view domain;
+    std::size_t leaf = 0; // number of the leaf
+};
+
+struct DomainState
+{
+    TimePoint lastAnswerAt = {}; // of any of its leafs
+    TimePoint suspectUntil = {};
+};
+
+struct Reachability
+{
+    std::map<std::string, DomainState, std::less<>> domains; // those that were sent to
+    TimePoint nextTrial = {};
+};
+
+auto noteDomainSend(Reachability &reachability, std::string_view domain, TimePoint now) -> void;
+auto noteDomainAnswer(Reachability &reachability, std::string_view domain, TimePoint now) -> void;
+
+// Suspects the domains in which several leafs owe answers and none has answered for a while. The
+// suspicion lapses by itself, so that the way is tried again.
+auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
+                        TimePoint now) -> void;
+
+auto isSuspect(const Reachability &reachability, std::string_view domain, TimePoint now) -> bool;
+
+// True if no domain can be reached: what is wrong is this instance's own way out.
+auto isCutOff(const Reachability &reachability, TimePoint now) -> bool;
+
+// While cut off, one request at a time is let through now and then to find out whether the way is
+// open again. Returns whether this is one.
+auto takeTrial(Reachability &reachability, TimePoint now) -> bool;
+
+} // namespace crocusreach::forward
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -228,7 +228,8 @@
 auto Front::ready() -> bool
 {
     const auto known = hasRead(this->store.state()) && canServe(this->forwarder.state());
-    const auto isReadyNow = isReady(this->lifecycle, known);
+    const auto isReadyNow
+            = isReady(this->lifecycle, known, reachesLeafs(this->forwarder.state(), decisionNow()));
     if (isReadyNow != std::exchange(this->reportedReady, isReadyNow))
         logEvent(LogEvent::ReadinessChanged, {{"ready", isReadyNow ? "yes" : "no"}});
     return isReadyNow;
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -573,6 +573,46 @@
     }
 }
 
+SCENARIO("an instance whose way to all leafs is cut")
+{
+    auto bench = Bench();
+    bench.setRoute(gather(6, 0.5));
+    for (auto shard = 0; shard < 6; ++shard)
+        bench.addLeaf("shard-" + std::to_string(shard), "leaf-" + std::to_string(shard));
+    bench.arrive();
+    for (const auto &send : bench.takeSends())
+        bench.answer(send);
+    bench.arrive();
+    bench.takeSends();
+    bench.pass(400ms);
+    bench.arrive();
+    WHEN("further requests arrive")
+    {
+        bench.takeSends();
+        const auto call = bench.arrive();
+        THEN("they are refused at once, so that their callers can ask elsewhere")
+        {
+            // Guards against requests that are held until their time is over.
+            CHECK(bench.takeSends().empty());
+            REQUIRE(bench.answerAs<OwnAnswer>(call) != nullptr);
+            CHECK(bench.answerAs<OwnAnswer>(call)->status == OwnStatus::NotRun);
+            CHECK_FALSE(reachesLeafs(bench.forwarder, bench.now));
+        }
+    }
+    WHEN("the request that tries the way is answered")
+    {
+        const auto trial = bench.takeSends();
+        REQUIRE(trial.size() == 6);
+        bench.answer(trial[0]);
+        THEN("requests are served again")
+        {
+            CHECK(reachesLeafs(bench.forwarder, bench.now));
+            bench.arrive();
+            CHECK_FALSE(bench.takeSends().empty());
+        }
+    }
+}
+
 SCENARIO("connections to a leaf are limited over all instances")
 {
     auto bench = Bench();
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -299,6 +299,64 @@
     }
 }
 
+SCENARIO("a way that is cut is told from leafs that stand still")
+{
+    auto reachability = Reachability();
+    auto now = TimePoint(1h);
+    noteDomainSend(reachability, "muar-a", now);
+    noteDomainSend(reachability, "muar-b", now);
+    const auto overdue = std::to_array<OverdueSend>({{"muar-b", 1}, {"muar-b", 2}, {"muar-b", 2}});
+    now += 300ms;
+    noteDomainAnswer(reachability, "muar-a", now);
+    WHEN("several leafs of one domain owe answers and none has answered for a while")
+    {
+        updateReachability(reachability, overdue, now);
+        THEN("that domain is suspect, and this instance isn't cut off")
+        {
+            CHECK(isSuspect(reachability, "muar-b", now));
+            CHECK_FALSE(isSuspect(reachability, "muar-a", now));
+            CHECK_FALSE(isCutOff(reachability, now));
+        }
+        THEN("an answer clears it, and so does time")
+        {
+            CHECK_FALSE(isSuspect(reachability, "muar-b", now + 2s));
+            noteDomainAnswer(reachability, "muar-b", now);
+            CHECK_FALSE(isSuspect(reachability, "muar-b", now));
+        }
+    }
+    WHEN("one leaf alone owes answers")
+    {
+        const auto single
+                = std::to_array<OverdueSend>({{"muar-b", 1}, {"muar-b", 1}, {"muar-b", 1}});
+        updateReachability(reachability, single, now);
+        CHECK_FALSE(isSuspect(reachability, "muar-b", now));
+    }
+    WHEN("a leaf of the domain has just answered")
+    {
+        noteDomainAnswer(reachability, "muar-b", now - 100ms);
+        updateReachability(reachability, overdue, now);
+        CHECK_FALSE(isSuspect(reachability, "muar-b", now));
+    }
+    WHEN("all domains are silent")
+    {
+        now += 300ms;
+        const auto all = std::to_array<OverdueSend>({{"muar-a", 3},
+                                                     {"muar-a", 4},
+                                                     {"muar-a", 4},
+                                                     {"muar-b", 1},
+                                                     {"muar-b", 2},
+                                                     {"muar-b", 2}});
+        updateReachability(reachability, all, now);
+        THEN("this instance is cut off, and tries the way now and then")
+        {
+            CHECK(isCutOff(reachability, now));
+            CHECK(takeTrial(reachability, now));
+            CHECK_FALSE(takeTrial(reachability, now + 100ms));
+            CHECK(takeTrial(reachability, now + 160ms));
+        }
+    }
+}
+
 SCENARIO("objects from sources of different age are merged by revision")
 {
     auto cache = KindCache();
@@ -368,17 +426,23 @@
     auto now = TimePoint(1h);
     THEN("it is ready once it can serve, and stays so")
     {
-        CHECK_FALSE(isReady(lifecycle, false));
-        CHECK(isReady(lifecycle, true));
-        CHECK(isReady(lifecycle, false));
+        CHECK_FALSE(isReady(lifecycle, false, true));
+        CHECK(isReady(lifecycle, true, true));
+        CHECK(isReady(lifecycle, false, true));
+    }
+    THEN("it is unready while it reaches no leaf")
+    {
+        CHECK(isReady(lifecycle, true, true));
+        CHECK_FALSE(isReady(lifecycle, true, false));
+        CHECK(isReady(lifecycle, true, true));
     }
     WHEN("a stop is requested")
     {
-        REQUIRE(isReady(lifecycle, true));
+        REQUIRE(isReady(lifecycle, true, true));
         requestStop(lifecycle, now);
         THEN("it is unready at once and serves on until the balancer has noticed")
         {
-            CHECK_FALSE(isReady(lifecycle, true));
+            CHECK_FALSE(isReady(lifecycle, true, true));
             CHECK(announcesClose(lifecycle));
             CHECK_FALSE(closesIdle(lifecycle, now + 3s));
             CHECK_FALSE(mayExit(lifecycle, 0, now + 3s));
