Take 421 for another leaf even if it says not run

Cause: the answer 421 bears the not-executed header as well, and that was looked at first. A stale entry counted as a full leaf and was used on. Ruled out: bytes held up by the cut of two fronts (still broken with resets).

--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -51,6 +51,16 @@
     leaf.failureRateAt = now;
 }
 
+// A leaf whose address a newer entry of another leaf has is gone.
+auto markReplaced(LeafTable &table, const LeafState &newer) -> void
+{
+    for (auto &leaf : table.leafs) {
+        if (leaf.listed && &leaf != &newer && leaf.record.address == newer.record.address
+            && leaf.record.revision < newer.record.revision)
+            leaf.misdirected = true;
+    }
+}
+
 auto startAnew(LeafState &leaf) -> void
 {
     leaf.failureRate = 0;
@@ -95,6 +105,7 @@
     leaf.removeAt.reset();
     if (record.coldLeft > Duration())
         leaf.coldUntil = now + record.coldLeft;
+    markReplaced(table, leaf);
     if (!std::exchange(leaf.listed, true))
         table.byService[record.service].push_back(index);
 }
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -147,6 +147,19 @@
             CHECK(leaf.coldUntil == now + 3s);
         }
     }
+    WHEN("a newer entry of another leaf has its address")
+    {
+        auto other = record;
+        other.id = "i-2";
+        other.service = "archive";
+        other.revision = 6;
+        putLeaf(table, other, now);
+        THEN("it is gone, though its own entry is still there")
+        {
+            CHECK_FALSE(isUsable(table, leaf));
+            CHECK(isUsable(table, leafAt(table, table.byId.at("i-2"))));
+        }
+    }
     WHEN("it moves to another service")
     {
         auto moved = record;
--- a/tests/platform_exchange.cpp
+++ b/tests/platform_exchange.cpp
@@ -105,6 +105,10 @@
         CHECK(failure.kind == LeafAnswerKind::Failure);
         CHECK(failure.soundsNotRun);
         CHECK(leafAnswer("421 Elsewhere\r\n").kind == LeafAnswerKind::OtherLeaf);
+        // Guards against a stale entry that is taken for a full leaf and used on: its requests
+        // count as repeats at the service that has got the address (fresh-e051 of kbw-reach).
+        CHECK(leafAnswer("421 Elsewhere\r\nCrocusreach-Not-Executed: 1\r\n").kind
+              == LeafAnswerKind::OtherLeaf);
     }
     THEN("its load is read, and nonsense is no load")
     {
