--- a/instance/frontmain.cpp
+++ b/instance/frontmain.cpp
@@ -86,6 +86,10 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     auto running = RunningFront();
+    // Signals that come during the start are kept until the loop runs.
+    g_unix_signal_add(SIGTERM, &onTerminate, &running);
+    g_unix_signal_add(SIGINT, &onTerminate, &running);
+    g_unix_signal_add(SIGHUP, &onReload, &running);
     running.settingsPath = platform::settingsPath();
     running.settingsText = readText(running.settingsPath);
     startLog(Severity::Info, std::cout);
@@ -99,9 +103,6 @@
     auto front = std::get<std::unique_ptr<Front>>(std::move(started));
     running.front = front.get();
     running.loop = g_main_loop_new(nullptr, FALSE);
-    g_unix_signal_add(SIGTERM, &onTerminate, &running);
-    g_unix_signal_add(SIGINT, &onTerminate, &running);
-    g_unix_signal_add(SIGHUP, &onReload, &running);
     g_timeout_add_seconds(settingsCheckSeconds, &onReload, &running);
     g_main_loop_run(running.loop);
     g_main_loop_unref(running.loop);
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -16,6 +16,8 @@
 
 constexpr auto exitSuccess = 0;
 constexpr auto exitStoppedEarly = 3;
+// Its libraries load within some ten milliseconds, longer beside other load.
+constexpr auto loadTime = std::chrono::milliseconds(100);
 // Of the settings; a process that was told to stop is gone by then.
 constexpr auto grace = std::chrono::seconds(4);
 
@@ -77,7 +79,7 @@
 
 auto startFront(Fleet &fleet, FrontProcess &front) -> void
 {
-    ++front.starts;
+    front.startedAt = std::chrono::steady_clock::now();
     const auto variable = "CROCUSREACH_SETTINGS=" + front.settingsPath;
     const auto log = ::open(front.logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     front.pid = ::fork();
@@ -101,6 +103,8 @@
     // kill() with 0 would reach all processes of the group.
     if (front.pid <= 0)
         return;
+    if (signal == SIGTERM)
+        front.stoppedAt = std::chrono::steady_clock::now();
     if (signal == SIGSTOP)
         front.paused = true;
     if (signal == SIGCONT)
@@ -125,6 +129,11 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
     front.pid = 0;
+    // Until the program has loaded, SIGTERM ends it at once; it has taken no request by then.
+    const auto loading = WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM
+                         && front.stoppedAt - front.startedAt < loadTime;
+    if (loading)
+        return;
     const auto code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     if (!killed && code != exitSuccess && code != exitStoppedEarly)
         fleet.findings.push_back(front.name + " " + describeStatus(status));
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <functional>
@@ -22,7 +23,8 @@
     pid_t pid = 0; // 0: not running
     bool paused = false;
     bool ending = false; // was killed or told to stop, and isn't started again yet
-    std::uint32_t starts = 0;
+    std::chrono::steady_clock::time_point startedAt = {};
+    std::chrono::steady_clock::time_point stoppedAt = {}; // when it was told to end
 };
 
 struct Fleet
