--- /dev/null
+++ b/core/forwardadmit.cpp
@@ -0,0 +1,200 @@
+#include "forwardadmit.h"
+
+#include "forwardanswer.h"
+#include "forwardcalls.h"
+#include "forwardsend.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusreach::forward {
+
+namespace {
+
+// Between the decision to answer and the answer's arrival at the caller: the way there and back
+// and the wait for the processor. An answer decided later than this before the target latency
+// would count as late.
+constexpr Duration answerMargin = std::chrono::milliseconds(12);
+// An answer to a caller whose time is nearly over is sent this much earlier.
+constexpr Duration endMargin = std::chrono::milliseconds(15);
+constexpr Duration routeTrialInterval = std::chrono::milliseconds(150);
+constexpr Duration reachabilityInterval = std::chrono::milliseconds(20);
+// Calls in progress take memory; beyond this number new ones are turned away.
+constexpr std::size_t mostCalls = 2000;
+// At the start, the state is read within some tens of milliseconds. A request is held so long,
+// though no longer than this part of its time.
+constexpr Duration longestHold = std::chrono::milliseconds(250);
+constexpr std::int64_t holdParts = 4;
+constexpr std::size_t mostHeld = 500;
+// Calls that wait for a connection; beyond this number new ones are turned away.
+constexpr std::size_t mostWaiting = 200;
+
+auto statsOf(Forwarder &forwarder, const Route &route) -> RouteStats &
+{
+    auto &stats = forwarder.routes[route.name];
+    if (stats == nullptr)
+        stats = std::make_unique<RouteStats>();
+    return *stats;
+}
+
+// Smooth weighted round robin: over any run of requests, each part gets its share within one.
+auto pickPart(RouteStats &stats, const Route &route) -> std::size_t
+{
+    stats.splitCredit.resize(route.split.size());
+    auto total = 0.0;
+    auto best = std::size_t(0);
+    for (std::size_t index = 0; index < route.split.size(); ++index) {
+        stats.splitCredit[index] += route.split[index].weight;
+        total += route.split[index].weight;
+        if (stats.splitCredit[index] > stats.splitCredit[best])
+            best = index;
+    }
+    stats.splitCredit[best] -= total;
+    return best;
+}
+
+auto buildParts(RouteStats &stats, const Route &route) -> std::vector<Part>
+{
+    auto parts = std::vector<Part>();
+    const auto add = [&parts](std::string_view service) {
+        parts.emplace_back();
+        parts.back().service = service;
+    };
+    if (route.shards.empty()) {
+        add(route.split[pickPart(stats, route)].service);
+        return parts;
+    }
+    for (const auto &shard : route.shards)
+        add(shard);
+    return parts;
+}
+
+// Parts of the call that no leaf serves now.
+auto unservedParts(Forwarder &forwarder, const Call &call) -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(call.parts.begin(), call.parts.end(), [&](const Part &part) {
+                return !hasUsableLeaf(forwarder.leafs, part.service);
+            }));
+}
+
+// Parts of the call whose leafs are all silent, or that no leaf serves.
+auto silentParts(Forwarder &forwarder, const Call &call, TimePoint now) -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(call.parts.begin(), call.parts.end(), [&](const Part &part) {
+                return !hasAnsweringLeaf(forwarder.leafs, part.service, now);
+            }));
+}
+
+// While too few leafs of a route answer, a request now and then finds out whether they do again.
+auto takeTrial(RouteStats &stats, TimePoint now) -> bool
+{
+    if (now < stats.nextTrial)
+        return false;
+    stats.nextTrial = now + routeTrialInterval;
+    return true;
+}
+
+// A repeated request of a caller has less time left than its first one had.
+auto elapsedBefore(RouteStats &stats, Duration timeLeft) -> Duration
+{
+    stats.longestTimeLeft = std::max(stats.longestTimeLeft, timeLeft);
+    return stats.longestTimeLeft - timeLeft;
+}
+
+} // namespace
+
+auto refuse(Forwarder &forwarder, const RequestArrived &event, const Route *route, OwnStatus status,
+            CallEnd end, std::vector<ForwardAction> &actions) -> void
+{
+    auto answer = OwnAnswer{status, {}};
+    if (status == OwnStatus::NotRun)
+        answer.retryAfter = retryAfter(forwarder, event.request->timeLeft);
+    ++forwarder.counters.ends.at(static_cast<std::size_t>(end));
+    answerCaller(event.call, answer, actions);
+    auto summary = CallSummary();
+    summary.requestId = event.request->id;
+    summary.route = route == nullptr ? std::string() : route->name;
+    summary.version = forwarder.table == nullptr ? 0 : forwarder.table->version;
+    summary.end = end;
+    summary.timeLeftAtArrival = event.request->timeLeft;
+    actions.emplace_back(CallEnded{std::move(summary)});
+}
+
+auto checkReachability(Forwarder &forwarder, TimePoint now) -> void
+{
+    if (now < forwarder.nextReachabilityCheck)
+        return;
+    forwarder.nextReachabilityCheck = now + reachabilityInterval;
+    auto overdue = std::vector<OverdueSend>();
+    for (std::size_t number = 0; number < forwarder.leafs.leafs.size(); ++number) {
+        const auto &leaf = forwarder.leafs.leafs[number];
+        for (const auto &send : leaf.outstanding) {
+            if (send.overdueAt <= now)
+                overdue.push_back({leaf.record.domain, number});
+        }
+    }
+    updateReachability(forwarder.reachability, overdue, now);
+}
+
+auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
+           std::vector<ForwardAction> &actions) -> void
+{
+    if (forwarder.table == nullptr)
+        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
+    const auto *route = findRoute(*forwarder.table, event.request->host, event.request->target);
+    if (route == nullptr)
+        return refuse(forwarder, event, nullptr, OwnStatus::NoRoute, CallEnd::NoRoute, actions);
+    checkReachability(forwarder, now);
+    if (isCutOff(forwarder.reachability, now) && !takeTrial(forwarder.reachability, now))
+        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::CutOff, actions);
+    if (forwarder.calls.size() >= mostCalls || forwarder.waiting.size() >= mostWaiting)
+        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::Overloaded, actions);
+    auto owned = std::make_unique<Call>();
+    auto &call = *owned;
+    call.id = event.call;
+    call.request = event.request;
+    call.table = forwarder.table;
+    call.route = route;
+    call.stats = &statsOf(forwarder, *route);
+    call.arrivedAt = arrivedAt;
+    call.endAt = arrivedAt + std::min(event.request->timeLeft, route->timeout) - endMargin;
+    call.partialAt = arrivedAt + route->targetLatency - answerMargin
+                     - elapsedBefore(*call.stats, event.request->timeLeft);
+    call.parts = buildParts(*call.stats, *route);
+    if (call.endAt <= now)
+        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::TimedOut, actions);
+    // A query that can't reach its share of the shards is turned away before its first send.
+    if (call.parts.size() - unservedParts(forwarder, call) < requiredParts(call))
+        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::NoLeaf, actions);
+    if (call.parts.size() - silentParts(forwarder, call, now) < requiredParts(call)
+        && !takeTrial(*call.stats, now))
+        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::SilentLeafs, actions);
+    forwarder.calls.emplace(call.id, std::move(owned));
+    setAlarm(forwarder, call.endAt, false, static_cast<std::uint64_t>(call.id));
+    if (!route->shards.empty())
+        setAlarm(forwarder, call.partialAt, false, static_cast<std::uint64_t>(call.id));
+    advance(forwarder, call, now, actions);
+}
+
+auto hold(Forwarder &forwarder, const RequestArrived &event, TimePoint now) -> bool
+{
+    if (forwarder.held.size() >= mostHeld)
+        return false;
+    const auto time = std::min(longestHold, event.request->timeLeft / holdParts);
+    forwarder.held.push_back({event, now, now + time});
+    return true;
+}
+
+auto refuseHeld(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions) -> void
+{
+    std::erase_if(forwarder.held, [&](const HeldRequest &item) {
+        const auto ended = forwarder.stateUnavailable || item.heldUntil <= now;
+        if (ended)
+            refuse(forwarder, item.event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
+        return ended;
+    });
+}
+
+} // namespace crocusreach::forward
--- /dev/null
+++ b/core/forwardcalls.cpp
@@ -0,0 +1,84 @@
+#include "forwardcalls.h"
+
+#include "forwardanswer.h"
+#include "forwardsend.h"
+
+#include <utility>
+
+namespace crocusreach::forward {
+
+namespace {
+
+auto summarize(Forwarder &forwarder, const Call &call, CallEnd end, TimePoint now) -> CallSummary
+{
+    auto summary = CallSummary();
+    summary.requestId = call.request->id;
+    summary.route = call.route->name;
+    summary.version = call.table->version;
+    summary.end = end;
+    summary.spent = now - call.arrivedAt;
+    summary.timeLeftAtArrival = call.request->timeLeft;
+    summary.parts = call.parts.size();
+    summary.missing = missingParts(call);
+    summary.sends = call.sends;
+    summary.hedges = call.hedges;
+    summary.retries = call.retries;
+    summary.late = summary.spent > call.route->targetLatency;
+    auto leaf = call.lastLeaf;
+    for (const auto &part : call.parts) {
+        if (part.state != PartState::Answered && !part.tried.empty())
+            leaf = part.tried.back();
+    }
+    if (leaf) {
+        const auto &state = leafAt(forwarder.leafs, *leaf);
+        summary.waitedFor = state.record.id;
+        summary.leafAge = now - state.slownessAt;
+    }
+    return summary;
+}
+
+} // namespace
+
+auto answerCaller(CallId call, CallAnswer &&answer, std::vector<ForwardAction> &actions) -> void
+{
+    auto &action = std::get<AnswerCaller>(actions.emplace_back(AnswerCaller()));
+    action.call = call;
+    action.answer = std::move(answer);
+}
+
+auto endCall(Forwarder &forwarder, Call &call, CallEnd end, TimePoint now,
+             std::vector<ForwardAction> &actions) -> void
+{
+    ++forwarder.counters.ends.at(static_cast<std::size_t>(end));
+    actions.emplace_back(CallEnded{summarize(forwarder, call, end, now)});
+    if (call.waiting)
+        forwarder.waiting.erase(*call.waiting);
+    forwarder.calls.erase(call.id);
+}
+
+auto advance(Forwarder &forwarder, Call &call, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    if (now < call.endAt)
+        sendDueParts(forwarder, call, now, actions);
+    auto outcome = decideOutcome(forwarder, call, now);
+    if (!outcome)
+        return;
+    answerCaller(call.id, std::move(outcome->answer), actions);
+    endCall(forwarder, call, outcome->end, now, actions);
+}
+
+auto advanceWaiting(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    if (forwarder.waiting.empty())
+        return;
+    const auto keys = std::vector<WaitingKey>(forwarder.waiting.begin(), forwarder.waiting.end());
+    for (const auto &key : keys) {
+        const auto call = forwarder.calls.find(std::get<CallId>(key));
+        if (call != forwarder.calls.end())
+            advance(forwarder, *call->second, now, actions);
+    }
+}
+
+} // namespace crocusreach::forward
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -1,22 +1,18 @@
 #include "forwarder.h"
 
-#include "forwardanswer.h"
+#include "forwardadmit.h"
+#include "forwardcalls.h"
+#include "forwardlinks.h"
 #include "forwardsend.h"
-#include "invariants.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace crocusreach::forward {
 
 namespace {
 
-// Between the decision to answer and the answer's arrival at the caller: the way there and back
-// and the wait for the processor. An answer decided later than this before the target latency
-// would count as late.
-constexpr Duration answerMargin = std::chrono::milliseconds(12);
-// An answer to a caller whose time is nearly over is sent this much earlier.
-constexpr Duration endMargin = std::chrono::milliseconds(15);
 // Until enough answers are known, a leaf is assumed to take this part of the target latency.
 constexpr std::int64_t assumedLatencyParts = 8;
 constexpr std::uint32_t latencyUpdateInterval = 16;
@@ -27,254 +23,6 @@
 // After its caller has left, a send that may be repeated is cancelled if it takes longer than
 // this. Shorter ones end by themselves and keep their connection.
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
-constexpr Duration routeTrialInterval = std::chrono::milliseconds(150);
-constexpr Duration reachabilityInterval = std::chrono::milliseconds(20);
-constexpr Duration linkCheckInterval = std::chrono::milliseconds(500);
-// Calls in progress take memory; beyond this number new ones are turned away.
-constexpr std::size_t mostCalls = 2000;
-// At the start, the state is read within some tens of milliseconds. A request is held so long,
-// though no longer than this part of its time.
-constexpr Duration longestHold = std::chrono::milliseconds(250);
-constexpr std::int64_t holdParts = 4;
-constexpr std::size_t mostHeld = 500;
-// Calls that wait for a connection; beyond this number new ones are turned away.
-constexpr std::size_t mostWaiting = 200;
-
-auto statsOf(Forwarder &forwarder, const Route &route) -> RouteStats &
-{
-    auto &stats = forwarder.routes[route.name];
-    if (stats == nullptr)
-        stats = std::make_unique<RouteStats>();
-    return *stats;
-}
-
-// Smooth weighted round robin: over any run of requests, each part gets its share within one.
-auto pickPart(RouteStats &stats, const Route &route) -> std::size_t
-{
-    stats.splitCredit.resize(route.split.size());
-    auto total = 0.0;
-    auto best = std::size_t(0);
-    for (std::size_t index = 0; index < route.split.size(); ++index) {
-        stats.splitCredit[index] += route.split[index].weight;
-        total += route.split[index].weight;
-        if (stats.splitCredit[index] > stats.splitCredit[best])
-            best = index;
-    }
-    stats.splitCredit[best] -= total;
-    return best;
-}
-
-auto buildParts(RouteStats &stats, const Route &route) -> std::vector<Part>
-{
-    auto parts = std::vector<Part>();
-    const auto add = [&parts](std::string_view service) {
-        parts.emplace_back();
-        parts.back().service = service;
-    };
-    if (route.shards.empty()) {
-        add(route.split[pickPart(stats, route)].service);
-        return parts;
-    }
-    for (const auto &shard : route.shards)
-        add(shard);
-    return parts;
-}
-
-auto answerCaller(CallId call, CallAnswer &&answer, std::vector<ForwardAction> &actions) -> void
-{
-    auto &action = std::get<AnswerCaller>(actions.emplace_back(AnswerCaller()));
-    action.call = call;
-    action.answer = std::move(answer);
-}
-
-auto summarize(Forwarder &forwarder, const Call &call, CallEnd end, TimePoint now) -> CallSummary
-{
-    auto summary = CallSummary();
-    summary.requestId = call.request->id;
-    summary.route = call.route->name;
-    summary.version = call.table->version;
-    summary.end = end;
-    summary.spent = now - call.arrivedAt;
-    summary.timeLeftAtArrival = call.request->timeLeft;
-    summary.parts = call.parts.size();
-    summary.missing = missingParts(call);
-    summary.sends = call.sends;
-    summary.hedges = call.hedges;
-    summary.retries = call.retries;
-    summary.late = summary.spent > call.route->targetLatency;
-    auto leaf = call.lastLeaf;
-    for (const auto &part : call.parts) {
-        if (part.state != PartState::Answered && !part.tried.empty())
-            leaf = part.tried.back();
-    }
-    if (leaf) {
-        const auto &state = leafAt(forwarder.leafs, *leaf);
-        summary.waitedFor = state.record.id;
-        summary.leafAge = now - state.slownessAt;
-    }
-    return summary;
-}
-
-auto endCall(Forwarder &forwarder, Call &call, CallEnd end, TimePoint now,
-             std::vector<ForwardAction> &actions) -> void
-{
-    ++forwarder.counters.ends.at(static_cast<std::size_t>(end));
-    actions.emplace_back(CallEnded{summarize(forwarder, call, end, now)});
-    if (call.waiting)
-        forwarder.waiting.erase(*call.waiting);
-    forwarder.calls.erase(call.id);
-}
-
-// Sends what is due and answers if the time has come. The call is gone afterwards if it does.
-auto advance(Forwarder &forwarder, Call &call, TimePoint now, std::vector<ForwardAction> &actions)
-        -> void
-{
-    if (now < call.endAt)
-        sendDueParts(forwarder, call, now, actions);
-    auto outcome = decideOutcome(forwarder, call, now);
-    if (!outcome)
-        return;
-    answerCaller(call.id, std::move(outcome->answer), actions);
-    endCall(forwarder, call, outcome->end, now, actions);
-}
-
-// Calls that wait for a connection, the most urgent first.
-auto advanceWaiting(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
-        -> void
-{
-    if (forwarder.waiting.empty())
-        return;
-    const auto keys = std::vector<WaitingKey>(forwarder.waiting.begin(), forwarder.waiting.end());
-    for (const auto &key : keys) {
-        const auto call = forwarder.calls.find(std::get<CallId>(key));
-        if (call != forwarder.calls.end())
-            advance(forwarder, *call->second, now, actions);
-    }
-}
-
-auto refuse(Forwarder &forwarder, const RequestArrived &event, const Route *route, OwnStatus status,
-            CallEnd end, std::vector<ForwardAction> &actions) -> void
-{
-    auto answer = OwnAnswer{status, {}};
-    if (status == OwnStatus::NotRun)
-        answer.retryAfter = retryAfter(forwarder, event.request->timeLeft);
-    ++forwarder.counters.ends.at(static_cast<std::size_t>(end));
-    answerCaller(event.call, answer, actions);
-    auto summary = CallSummary();
-    summary.requestId = event.request->id;
-    summary.route = route == nullptr ? std::string() : route->name;
-    summary.version = forwarder.table == nullptr ? 0 : forwarder.table->version;
-    summary.end = end;
-    summary.timeLeftAtArrival = event.request->timeLeft;
-    actions.emplace_back(CallEnded{std::move(summary)});
-}
-
-// Parts of the call that no leaf serves now.
-auto unservedParts(Forwarder &forwarder, const Call &call) -> std::size_t
-{
-    return static_cast<std::size_t>(
-            std::count_if(call.parts.begin(), call.parts.end(), [&](const Part &part) {
-                return !hasUsableLeaf(forwarder.leafs, part.service);
-            }));
-}
-
-// Parts of the call whose leafs are all silent, or that no leaf serves.
-auto silentParts(Forwarder &forwarder, const Call &call, TimePoint now) -> std::size_t
-{
-    return static_cast<std::size_t>(
-            std::count_if(call.parts.begin(), call.parts.end(), [&](const Part &part) {
-                return !hasAnsweringLeaf(forwarder.leafs, part.service, now);
-            }));
-}
-
-// While too few leafs of a route answer, a request now and then finds out whether they do again.
-auto takeTrial(RouteStats &stats, TimePoint now) -> bool
-{
-    if (now < stats.nextTrial)
-        return false;
-    stats.nextTrial = now + routeTrialInterval;
-    return true;
-}
-
-// A repeated request of a caller has less time left than its first one had.
-auto elapsedBefore(RouteStats &stats, Duration timeLeft) -> Duration
-{
-    stats.longestTimeLeft = std::max(stats.longestTimeLeft, timeLeft);
-    return stats.longestTimeLeft - timeLeft;
-}
-
-auto checkReachability(Forwarder &forwarder, TimePoint now) -> void
-{
-    if (now < forwarder.nextReachabilityCheck)
-        return;
-    forwarder.nextReachabilityCheck = now + reachabilityInterval;
-    auto overdue = std::vector<OverdueSend>();
-    for (std::size_t number = 0; number < forwarder.leafs.leafs.size(); ++number) {
-        const auto &leaf = forwarder.leafs.leafs[number];
-        for (const auto &send : leaf.outstanding) {
-            if (send.overdueAt <= now)
-                overdue.push_back({leaf.record.domain, number});
-        }
-    }
-    updateReachability(forwarder.reachability, overdue, now);
-}
-
-// Starts a call, which may have arrived some time ago.
-auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
-           std::vector<ForwardAction> &actions) -> void
-{
-    if (forwarder.table == nullptr)
-        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
-    const auto *route = findRoute(*forwarder.table, event.request->host, event.request->target);
-    if (route == nullptr)
-        return refuse(forwarder, event, nullptr, OwnStatus::NoRoute, CallEnd::NoRoute, actions);
-    checkReachability(forwarder, now);
-    if (isCutOff(forwarder.reachability, now) && !takeTrial(forwarder.reachability, now))
-        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::CutOff, actions);
-    if (forwarder.calls.size() >= mostCalls || forwarder.waiting.size() >= mostWaiting)
-        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::Overloaded, actions);
-    auto owned = std::make_unique<Call>();
-    auto &call = *owned;
-    call.id = event.call;
-    call.request = event.request;
-    call.table = forwarder.table;
-    call.route = route;
-    call.stats = &statsOf(forwarder, *route);
-    call.arrivedAt = arrivedAt;
-    call.endAt = arrivedAt + std::min(event.request->timeLeft, route->timeout) - endMargin;
-    call.partialAt = arrivedAt + route->targetLatency - answerMargin
-                     - elapsedBefore(*call.stats, event.request->timeLeft);
-    call.parts = buildParts(*call.stats, *route);
-    if (call.endAt <= now)
-        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::TimedOut, actions);
-    // A query that can't reach its share of the shards is turned away before its first send.
-    if (call.parts.size() - unservedParts(forwarder, call) < requiredParts(call))
-        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::NoLeaf, actions);
-    if (call.parts.size() - silentParts(forwarder, call, now) < requiredParts(call)
-        && !takeTrial(*call.stats, now))
-        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::SilentLeafs, actions);
-    forwarder.calls.emplace(call.id, std::move(owned));
-    setAlarm(forwarder, call.endAt, false, static_cast<std::uint64_t>(call.id));
-    if (!route->shards.empty())
-        setAlarm(forwarder, call.partialAt, false, static_cast<std::uint64_t>(call.id));
-    advance(forwarder, call, now, actions);
-}
-
-auto hold(Forwarder &forwarder, const RequestArrived &event, TimePoint now) -> void
-{
-    const auto time = std::min(longestHold, event.request->timeLeft / holdParts);
-    forwarder.held.push_back({event, now, now + time});
-}
-
-auto refuseHeld(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions) -> void
-{
-    std::erase_if(forwarder.held, [&](const HeldRequest &item) {
-        const auto ended = forwarder.stateUnavailable || item.heldUntil <= now;
-        if (ended)
-            refuse(forwarder, item.event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
-        return ended;
-    });
-}
 
 auto take(Forwarder &forwarder, const StateRead & /*event*/, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
@@ -299,9 +47,8 @@
         return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::Stopping, actions);
     if (forwarder.stateRead)
         return admit(forwarder, event, now, now, actions);
-    if (forwarder.stateUnavailable || forwarder.held.size() >= mostHeld)
-        return refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
-    hold(forwarder, event, now);
+    if (forwarder.stateUnavailable || !hold(forwarder, event, now))
+        refuse(forwarder, event, nullptr, OwnStatus::NotRun, CallEnd::NoRoutes, actions);
 }
 
 auto take(Forwarder &forwarder, const CallerLeft &event, TimePoint now,
@@ -326,35 +73,6 @@
     endCall(forwarder, call, CallEnd::CallerLeft, now, actions);
 }
 
-auto freeLink(Forwarder &forwarder, LeafState &leaf, const LeafAnswered &event, LinkId id,
-              TimePoint now) -> void
-{
-    const auto link = std::find_if(leaf.links.begin(), leaf.links.end(),
-                                   [id](const Link &item) { return item.id == id; });
-    link->state = LinkState::Idle;
-    link->idleSince = now;
-    if (!forwarder.nextLinkCheck)
-        forwarder.nextLinkCheck = now + linkCheckInterval;
-    if (event.idleLimit > Duration())
-        link->idleLimit = event.idleLimit;
-}
-
-auto dropLink(Forwarder &forwarder, LinkId id) -> void
-{
-    const auto found = forwarder.links.find(id);
-    if (found == forwarder.links.end())
-        return;
-    auto &leaf = leafAt(forwarder.leafs, found->second);
-    std::erase_if(leaf.links, [id](const Link &link) { return link.id == id; });
-    forwarder.links.erase(found);
-}
-
-auto closeLink(Forwarder &forwarder, LinkId id, std::vector<ForwardAction> &actions) -> void
-{
-    dropLink(forwarder, id);
-    actions.emplace_back(CloseLink{id});
-}
-
 // What an answer shows of its leaf, also if its call has ended meanwhile.
 auto observe(LeafState &leaf, const Send &send, const LeafAnswer &answer, TimePoint now) -> void
 {
@@ -443,15 +161,25 @@
     failPart(call, part, toReason(answer.kind), answer.kind == LeafAnswerKind::Failure);
 }
 
-auto take(Forwarder &forwarder, const LeafAnswered &event, TimePoint now,
-          std::vector<ForwardAction> &actions) -> void
+// Ends a send if it still runs.
+auto takeSend(Forwarder &forwarder, SendId id) -> std::optional<Send>
 {
-    const auto found = forwarder.sends.find(event.send);
+    const auto found = forwarder.sends.find(id);
     if (found == forwarder.sends.end())
-        return;
+        return {};
     const auto send = found->second;
     forwarder.sends.erase(found);
     endSend(forwarder, send);
+    return send;
+}
+
+auto take(Forwarder &forwarder, const LeafAnswered &event, TimePoint now,
+          std::vector<ForwardAction> &actions) -> void
+{
+    const auto ended = takeSend(forwarder, event.send);
+    if (!ended)
+        return;
+    const auto &send = *ended;
     count(forwarder.counters, event.answer.kind);
     auto &leaf = leafAt(forwarder.leafs, send.leaf);
     const auto call = forwarder.calls.find(send.call);
@@ -471,12 +199,10 @@
 auto take(Forwarder &forwarder, const SendFailed &event, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
 {
-    const auto found = forwarder.sends.find(event.send);
-    if (found == forwarder.sends.end())
+    const auto ended = takeSend(forwarder, event.send);
+    if (!ended)
         return;
-    const auto send = found->second;
-    forwarder.sends.erase(found);
-    endSend(forwarder, send);
+    const auto &send = *ended;
     dropLink(forwarder, send.link);
     auto &counters = forwarder.counters;
     ++(event.failure == SendFailure::NotSent ? counters.notSent
@@ -509,20 +235,6 @@
     forwarder.table = event.table;
 }
 
-// Closes the idle connections of leafs that get nothing any more.
-auto closeUnusedLinks(Forwarder &forwarder, std::vector<ForwardAction> &actions) -> void
-{
-    for (auto &leaf : forwarder.leafs.leafs) {
-        if (leaf.links.empty() || (leaf.listed && !leaf.record.draining && !leaf.misdirected))
-            continue;
-        const auto links = leaf.links;
-        for (const auto &link : links) {
-            if (link.state == LinkState::Idle)
-                closeLink(forwarder, link.id, actions);
-        }
-    }
-}
-
 auto take(Forwarder &forwarder, const LeafsRegistered &event, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
 {
@@ -581,9 +293,7 @@
     const auto found = forwarder.sends.find(id);
     if (found == forwarder.sends.end() || now < found->second.endAt)
         return;
-    const auto send = found->second;
-    forwarder.sends.erase(found);
-    endSend(forwarder, send);
+    const auto send = *takeSend(forwarder, id);
     ++forwarder.counters.overdue;
     if (now - send.sentAt > cancelDelay)
         noteFailure(leafAt(forwarder.leafs, send.leaf), now);
@@ -593,26 +303,6 @@
         call->second->parts[send.part].mayHaveRun = true;
 }
 
-// Closes connections that were idle for too long, before their leafs do.
-auto closeStaleLinks(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
-        -> void
-{
-    if (!forwarder.nextLinkCheck || now < *forwarder.nextLinkCheck)
-        return;
-    auto stale = std::vector<LinkId>();
-    for (const auto &leaf : forwarder.leafs.leafs) {
-        for (const auto &link : leaf.links) {
-            if (link.state == LinkState::Idle && now - link.idleSince > idleTime(leaf, link))
-                stale.push_back(link.id);
-        }
-    }
-    for (const auto id : stale)
-        closeLink(forwarder, id, actions);
-    forwarder.nextLinkCheck.reset();
-    if (!forwarder.links.empty())
-        forwarder.nextLinkCheck = now + linkCheckInterval;
-}
-
 auto take(Forwarder &forwarder, const ForwarderTick & /*event*/, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
 {
