Judge a call's time by its own arrival only, and satisfy the linter

Cause: a caller's time left was taken for what remains of an earlier, longer one. Callers with different time budgets on one route then got answers with missing shards although there was time to wait.

Change: the time for an answer in part counts from the request's arrival.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -96,13 +96,6 @@
     return true;
 }
 
-// A repeated request of a caller has less time left than its first one had.
-auto elapsedBefore(RouteStats &stats, Duration timeLeft) -> Duration
-{
-    stats.longestTimeLeft = std::max(stats.longestTimeLeft, timeLeft);
-    return stats.longestTimeLeft - timeLeft;
-}
-
 } // namespace
 
 auto refuse(Forwarder &forwarder, const RequestArrived &event, const Route *route, OwnStatus status,
@@ -160,8 +153,7 @@
     call.stats = &statsOf(forwarder, *route);
     call.arrivedAt = arrivedAt;
     call.endAt = arrivedAt + std::min(event.request->timeLeft, route->timeout) - endMargin;
-    call.partialAt = arrivedAt + route->targetLatency - answerMargin
-                     - elapsedBefore(*call.stats, event.request->timeLeft);
+    call.partialAt = arrivedAt + route->targetLatency - answerMargin;
     call.parts = buildParts(*call.stats, *route);
     if (call.endAt <= now)
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::TimedOut, actions);
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -75,7 +75,6 @@
     LatencyHistogram latency = makeLatencyHistogram();
     Duration usual = {}; // median of a leaf's latency; 0 until known
     std::uint32_t sinceUpdate = 0;
-    Duration longestTimeLeft = {}; // that a caller gave; a repeated request has less
     std::vector<double> splitCredit; // of the split's parts
     TimePoint nextTrial = {}; // while too few of the route's leafs answer
 };
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -31,13 +31,20 @@
 {
     auto records = std::vector<std::string>();
     for (auto number = 0; number < recordsPerPart; ++number) {
-        auto record = std::to_string(number) + "|" + leaf + "|" + id;
+        auto record = std::to_string(number);
+        record.append("|").append(leaf).append("|").append(id);
         record.resize(recordBytes, '.');
         records.push_back(record);
     }
     return records;
 }
 
+auto requestFinding(const std::string &id, std::string_view text) -> std::string
+{
+    auto finding = "request " + id;
+    return finding.append(" ").append(text);
+}
+
 auto split(std::string_view text) -> std::vector<std::string>
 {
     auto items = std::vector<std::string>();
@@ -151,7 +158,7 @@
         ++this->counted.failed;
         // The routes are there at all times, and the requests are proper.
         if (response->status < 500)
-            this->find("request " + id + " got " + std::to_string(response->status));
+            this->find(requestFinding(id, "got status " + std::to_string(response->status)));
     }
     return response->keepAlive;
 }
@@ -165,7 +172,7 @@
         const auto dot = receipt.rfind('.');
         const auto leaf = receipt.substr(0, dot);
         if (dot == std::string::npos || receipt.substr(dot + 1) != id)
-            return this->find("request " + id + " got the part " + receipt);
+            return this->find(requestFinding(id, "got the part " + receipt));
         services.insert(leaf.substr(0, leaf.find('/')));
         for (auto &record : recordsOf(leaf, id))
             records.push_back(std::move(record));
@@ -174,15 +181,15 @@
             std::string(findHeader(response, "Crocusreach-Missing-Parts").value_or("0")));
     this->counted.partial += missing > 0 ? 1 : 0;
     if (services.size() != receipts.size())
-        return this->find("request " + id + " got two parts of one service");
+        return this->find(requestFinding(id, "got two parts of one service"));
     if (!this->shardSets.fits(services, missing))
-        return this->find("request " + id + " got parts of no single desired state");
+        return this->find(requestFinding(id, "got parts of no single desired state"));
     std::sort(records.begin(), records.end(), std::greater<>());
     auto expected = std::string();
     for (std::size_t index = 0; index < std::min(topRecords, records.size()); ++index)
         expected += records[index];
     if (response.body != expected)
-        this->find("request " + id + " got other records than its parts hold");
+        this->find(requestFinding(id, "got other records than its parts hold"));
 }
 
 auto Callers::checkSingle(const HttpMessage &response, const std::string &id) -> void
@@ -190,12 +197,12 @@
     const auto receipt = std::string(findHeader(response, "Crocusreach-Server-Stamp").value_or(""));
     const auto dot = receipt.rfind('.');
     if (dot == std::string::npos || receipt.substr(dot + 1) != id)
-        return this->find("request " + id + " got the answer " + receipt);
+        return this->find(requestFinding(id, "got the answer " + receipt));
     auto expected = std::string();
     for (const auto &record : recordsOf(receipt.substr(0, dot), id))
         expected += record;
     if (response.body != expected)
-        this->find("request " + id + " got another body than its leaf sent");
+        this->find(requestFinding(id, "got another body than its leaf sent"));
 }
 
 } // namespace crocusreach::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -246,14 +246,16 @@
 
 auto harmLeaf(Surroundings &world) -> EndFault
 {
-    auto &[id, leaf] = world.pickLeaf();
+    auto &picked = world.pickLeaf();
+    const auto &id = picked.first;
+    auto &leaf = picked.second;
     if (world.random() % 2 == 0) {
         const auto modes = std::to_array({PlatformLeafMode::Refuses, PlatformLeafMode::Silent,
                                           PlatformLeafMode::Loses, PlatformLeafMode::OtherLeaf});
         const auto mode = modes.at(world.random() % modes.size());
         std::cout << "leaf " << id << " mode " << static_cast<int>(mode) << '\n';
         world.worker.run([&] { leaf.leaf->setMode(mode); });
-        return [&world, &leaf = leaf, &id = id] {
+        return [&world, &leaf, &id] {
             world.worker.run([&] { leaf.leaf->setMode(PlatformLeafMode::Serves); });
             world.enter(id);
         };
@@ -263,7 +265,7 @@
     const auto fault = faults.at(world.random() % faults.size());
     std::cout << "leaf " << id << " link fault " << static_cast<int>(fault) << '\n';
     world.proxies.run([&] { leaf.proxy->setFault(fault, 100ms); });
-    return [&world, &leaf = leaf] {
+    return [&world, &leaf] {
         world.proxies.run([&] {
             leaf.proxy->setFault(LinkFault::None);
             leaf.proxy->resetConnections();
@@ -275,20 +277,22 @@
 {
     switch (world.random() % 4) {
     case 0: {
-        auto &[id, leaf] = world.pickLeaf();
+        auto &picked = world.pickLeaf();
+        const auto &id = picked.first;
+        auto &leaf = picked.second;
         std::cout << "drain " << id << '\n';
         leaf.draining = true;
         world.enter(id);
-        return [&world, &leaf = leaf, &id = id] {
+        return [&world, &leaf, &id] {
             leaf.draining = false;
             world.enter(id);
         };
     }
     case 1: {
-        auto &[id, leaf] = world.pickLeaf();
+        const auto &id = world.pickLeaf().first;
         std::cout << "remove the entry of " << id << '\n';
         world.worker.run([&] { world.store->remove("servers", id); });
-        return [&world, &id = id] { world.enter(id); };
+        return [&world, &id] { world.enter(id); };
     }
     case 2: {
         const auto domain = "zone-" + std::to_string(world.random() % 3);
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -146,7 +146,7 @@
         AND_WHEN("a leaf's entry changes")
         {
             bench.actions.clear();
-            bench.give(Channel::Leafs, ObjectsChanged{{bench.leaf("i-2", 12)}, 13});
+            bench.give(Channel::Leafs, ObjectsChanged{{ReaderBench::leaf("i-2", 12)}, 13});
             THEN("it is passed on, and the next watch starts after a moment from there")
             {
                 CHECK(bench.event<LeafsRegistered>().value().leafs[0].id == "i-2");
@@ -202,7 +202,7 @@
             }
             THEN("entries that are missing soon after may have lapsed")
             {
-                bench.give(Channel::Leafs, ObjectsChanged{{bench.leaf("i-1", 5, true)}, 14});
+                bench.give(Channel::Leafs, ObjectsChanged{{ReaderBench::leaf("i-1", 5, true)}, 14});
                 REQUIRE(bench.event<LeafsRemoved>());
                 CHECK(bench.event<LeafsRemoved>().value().registryWasAway);
             }
@@ -218,13 +218,13 @@
     }
     WHEN("a list has several pages")
     {
-        bench.give(Channel::Leafs, ObjectsListed{{bench.leaf("i-1", 5)}, "i-1", 10});
+        bench.give(Channel::Leafs, ObjectsListed{{ReaderBench::leaf("i-1", 5)}, "i-1", 10});
         THEN("it goes on after the last name, and counts as read with the last page")
         {
             const auto call = bench.callOn(Channel::Leafs);
             REQUIRE(call);
             CHECK(std::get<ListObjects>(call->request).after == "i-1");
-            bench.give(Channel::Leafs, ObjectsListed{{bench.leaf("i-2", 11)}, {}, 12});
+            bench.give(Channel::Leafs, ObjectsListed{{ReaderBench::leaf("i-2", 11)}, {}, 12});
             // Changes between the pages are watched for from the first page's revision.
             CHECK(watchOf(bench.callOn(Channel::Leafs)).revision == 10);
         }
@@ -235,7 +235,7 @@
         broken.name = "i-9";
         broken.revision = 6;
         broken.content = UnusableObject{Error{Step::Store, "i-9", "state: is missing"}};
-        bench.give(Channel::Leafs, ObjectsListed{{broken, bench.leaf("i-1", 5)}, {}, 10});
+        bench.give(Channel::Leafs, ObjectsListed{{broken, ReaderBench::leaf("i-1", 5)}, {}, 10});
         THEN("it is reported, and the others count")
         {
             CHECK(std::any_of(bench.actions.begin(), bench.actions.end(), [](const auto &action) {
@@ -262,7 +262,7 @@
     }
     WHEN("the seed has word from the store")
     {
-        bench.give(Channel::Leafs, ObjectsChanged{{bench.leaf("i-2", 12)}, 13}, 200ms);
+        bench.give(Channel::Leafs, ObjectsChanged{{ReaderBench::leaf("i-2", 12)}, 13}, 200ms);
         THEN("what it says is taken in")
         {
             CHECK(bench.reader.seed);
@@ -297,7 +297,7 @@
     }
     WHEN("the seed is behind what is known")
     {
-        bench.give(Channel::Leafs, ObjectsChanged{{bench.leaf("i-1", 4)}, 9}, 100ms);
+        bench.give(Channel::Leafs, ObjectsChanged{{ReaderBench::leaf("i-1", 4)}, 9}, 100ms);
         THEN("nothing is taken back")
         {
             CHECK(bench.reader.cache.kinds[2].revision == 10);
--- a/tests/front_path.cpp
+++ b/tests/front_path.cpp
@@ -74,13 +74,13 @@
     {
         this->worker.run([&] {
             auto leaf = std::make_unique<PlatformLeaf>("127.0.0.1:0", id, this->ledger);
-            this->register_(service, id, domain, leaf->address(), "ready");
+            this->enterLeaf(service, id, domain, leaf->address(), "ready");
             this->leafs[id] = std::move(leaf);
         });
     }
 
     // In the worker's thread.
-    auto register_(const std::string &service, const std::string &id, const std::string &domain,
+    auto enterLeaf(const std::string &service, const std::string &id, const std::string &domain,
                    const std::string &address, const char *state) -> void
     {
         this->store->put("servers", id,
@@ -97,7 +97,7 @@
     auto drain(const std::string &service, const std::string &id, const std::string &domain) -> void
     {
         this->worker.run([&] {
-            this->register_(service, id, domain, this->leafs.at(id)->address(), "draining");
+            this->enterLeaf(service, id, domain, this->leafs.at(id)->address(), "draining");
         });
     }
 
@@ -221,7 +221,7 @@
             CHECK(response.status == 200);
             CHECK(findHeader(response, "Crocusreach-Missing-Parts") == "0");
             CHECK(findHeader(response, "Crocusreach-Part-Stamps") == "s1-a.q1, s2-a.q1, s3-a.q1");
-            CHECK(response.body.size() == 5 * 16);
+            CHECK(response.body.size() == std::size_t(5) * 16);
             CHECK(response.body.starts_with("3|s3-a|q1"));
         }
     }
--- a/tests/leafworld.h
+++ b/tests/leafworld.h
@@ -72,7 +72,7 @@
             auto settings = ForwarderSettings();
             settings.domain = "zone-" + std::to_string(number % 3);
             settings.repeats = this->repeats;
-            settings.seed = seed * 1000 + number + 1;
+            settings.seed = std::uint64_t(seed) * 1000 + number + 1;
             configure(forwarder, settings);
             this->deliver(number, InstancesCounted{static_cast<std::uint32_t>(instances)});
             this->deliver(number, StateRead());
