Share four pieces of logic that the fronts had written twice

placement worked out an instance's part of a leaf's connections, the cold limit and a leaf's doubtfulness in two places each, and ranked leafs by hash on every send where no ranking is needed; admission counted shards in two loops; the time to open a connection stood in two files; mailbox and timer made the same source. Behaviour is unchanged: core_forwarder_load gives the same 12,733 assertions.

--- a/base/mailbox.cpp
+++ b/base/mailbox.cpp
@@ -69,23 +69,28 @@
     g_main_loop_unref(this->loop);
 }
 
-WakeTimer::WakeTimer(GMainContext *context, std::function<auto()->void> function)
-    : function(std::move(function))
+auto attachReadySource(GMainContext *context, GSourceFunc function, gpointer data) -> GSource *
 {
     static GSourceFuncs functions = {nullptr,
                                      nullptr,
-                                     [](GSource *source, GSourceFunc callback, gpointer data) {
+                                     [](GSource *source, GSourceFunc callback, gpointer content) {
                                          g_source_set_ready_time(source, -1);
-                                         return callback(data);
+                                         return callback(content);
                                      },
                                      nullptr,
                                      nullptr,
                                      nullptr};
     auto *created = g_source_new(&functions, sizeof(GSource));
-    g_source_set_callback(created, &WakeTimer::fire, this, nullptr);
+    g_source_set_callback(created, function, data, nullptr);
     g_source_set_ready_time(created, -1);
     g_source_attach(created, context);
-    this->source = SourceHandle(created);
+    return created;
+}
+
+WakeTimer::WakeTimer(GMainContext *context, std::function<auto()->void> function)
+    : function(std::move(function))
+{
+    this->source = SourceHandle(attachReadySource(context, &WakeTimer::fire, this));
 }
 
 auto WakeTimer::setDelay(gint64 delay) -> void
--- a/base/mailbox.h
+++ b/base/mailbox.h
@@ -47,6 +47,10 @@
     GSource *source = nullptr; // owned
 };
 
+// Attaches a source that calls the function once whenever its ready time has come; at first none is
+// set. The caller owns the reference.
+auto attachReadySource(GMainContext *context, GSourceFunc function, gpointer data) -> GSource *;
+
 // Queue of messages to one task. Any thread may post; the handler runs in the main context that the
 // mailbox is attached to, once for each message, in order of posting.
 template <typename Message>
@@ -124,19 +128,7 @@
 auto Mailbox<Message>::attach(GMainContext *context, Handler messageHandler) -> void
 {
     this->handler = std::move(messageHandler);
-    static GSourceFuncs functions = {nullptr,
-                                     nullptr,
-                                     [](GSource *source, GSourceFunc callback, gpointer data) {
-                                         g_source_set_ready_time(source, -1);
-                                         return callback(data);
-                                     },
-                                     nullptr,
-                                     nullptr,
-                                     nullptr};
-    auto *created = g_source_new(&functions, sizeof(GSource));
-    g_source_set_callback(created, &Mailbox::dispatchQueued, this, nullptr);
-    g_source_set_ready_time(created, -1);
-    g_source_attach(created, context);
+    auto *created = attachReadySource(context, &Mailbox::dispatchQueued, this);
     this->source = SourceHandle(created);
     const auto lock = std::lock_guard(this->mutex);
     this->wakeSource = created;
--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -69,22 +69,13 @@
     return parts;
 }
 
-// Parts of the call that no leaf serves now.
-auto unservedParts(Forwarder &forwarder, const Call &call) -> std::size_t
+// True if enough parts of the call have a leaf for which the condition holds.
+template <typename Condition>
+auto canReachShare(const Call &call, Condition hasLeaf) -> bool
 {
-    return static_cast<std::size_t>(
-            std::count_if(call.parts.begin(), call.parts.end(), [&](const Part &part) {
-                return !hasUsableLeaf(forwarder.leafs, part.service);
-            }));
-}
-
-// Parts of the call whose leafs are all silent, or that no leaf serves.
-auto silentParts(Forwarder &forwarder, const Call &call, TimePoint now) -> std::size_t
-{
-    return static_cast<std::size_t>(
-            std::count_if(call.parts.begin(), call.parts.end(), [&](const Part &part) {
-                return !hasAnsweringLeaf(forwarder.leafs, part.service, now);
-            }));
+    const auto parts = std::count_if(call.parts.begin(), call.parts.end(),
+                                     [&](const Part &part) { return hasLeaf(part.service); });
+    return static_cast<std::size_t>(parts) >= requiredParts(call);
 }
 
 // While too few leafs of a route answer, a request now and then finds out whether they do again.
@@ -158,10 +149,14 @@
     if (call.endAt <= now)
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::TimedOut, actions);
     // A query that can't reach its share of the shards is turned away before its first send.
-    if (call.parts.size() - unservedParts(forwarder, call) < requiredParts(call))
+    const auto isServed
+            = [&](std::string_view service) { return hasUsableLeaf(forwarder.leafs, service); };
+    if (!canReachShare(call, isServed))
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::NoLeaf, actions);
-    if (call.parts.size() - silentParts(forwarder, call, now) < requiredParts(call)
-        && !takeTrial(*call.stats, now))
+    const auto isAnswering = [&](std::string_view service) {
+        return hasAnsweringLeaf(forwarder.leafs, service, now);
+    };
+    if (!canReachShare(call, isAnswering) && !takeTrial(*call.stats, now))
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::SilentLeafs, actions);
     forwarder.calls.emplace(call.id, std::move(owned));
     setAlarm(forwarder, call.endAt, false, static_cast<std::uint64_t>(call.id));
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -18,8 +18,6 @@
 constexpr std::uint32_t latencyUpdateInterval = 16;
 // A pause or a lost answer says little about a leaf's speed; beyond this ratio it isn't weighed.
 constexpr double greatestRatio = 4;
-// A new connection takes a leaf up to this time.
-constexpr Duration openTime = std::chrono::milliseconds(6);
 // After its caller has left, a send that may be repeated is cancelled if it takes longer than
 // this. Shorter ones end by themselves and keep their connection.
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
@@ -90,7 +88,7 @@
     case LeafAnswerKind::Success:
         break;
     }
-    const auto latency = now - send.sentAt - (send.opened ? openTime : Duration());
+    const auto latency = now - send.sentAt - (send.opened ? linkOpenTime : Duration());
     const auto ratio = static_cast<double>(latency.count())
                        / static_cast<double>(std::max(Duration(1), send.usual).count());
     noteAnswer(leaf, std::clamp(ratio, 0.0, greatestRatio), now);
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -10,8 +10,6 @@
 
 // Bytes between failure domains cost, and the way there and back takes 1 to 3 ms.
 constexpr Duration otherDomainCost = std::chrono::milliseconds(3);
-// A new connection takes a leaf up to this time.
-constexpr Duration openCost = std::chrono::milliseconds(6);
 // Leafs that stand still do so for up to 200 ms.
 constexpr Duration stalledCost = std::chrono::milliseconds(200);
 constexpr Duration avoidedCost = std::chrono::seconds(2);
@@ -74,6 +72,12 @@
     return query.reachability != nullptr && isSuspect(*query.reachability, leaf.record.domain, now);
 }
 
+// True if a send to the leaf will probably not be answered soon.
+auto isDoubtful(const LeafState &leaf, const PlacementQuery &query, TimePoint now) -> bool
+{
+    return isStalled(leaf, now) || now < leaf.avoidUntil || isUnreachable(leaf, query, now);
+}
+
 auto expectedTime(const LeafState &leaf, const PlacementQuery &query, bool opens, TimePoint now)
         -> Duration
 {
@@ -90,7 +94,7 @@
     if (!leaf.preferred)
         time += otherLeafCost;
     if (opens)
-        time += openCost;
+        time += linkOpenTime;
     time += scaled(failureCost, failureRateOf(leaf, now));
     if (isStalled(leaf, now) || isUnreachable(leaf, query, now))
         time += stalledCost;
@@ -99,18 +103,28 @@
     return time;
 }
 
+// Connections of one leaf that are this instance's part; absent if the leaf states no limit.
+auto linkPart(const ServiceSpec *spec, const InstanceShare &share) -> std::optional<double>
+{
+    if (spec == nullptr || spec->maxConnections == 0)
+        return {};
+    return sharedConnections * spec->maxConnections / std::max(1U, share.instances);
+}
+
 // Marks the leafs to which this instance keeps connections: all, or where these would be too many,
 // those of its own failure domain first and then by a hash, so that instances spread.
 auto choosePreferred(LeafTable &table, std::span<const LeafIndexNumber> list,
                      const PlacementQuery &query, const InstanceShare &share) -> void
 {
-    const auto limited = query.spec != nullptr && query.spec->maxConnections > 0;
-    const auto part = limited ? sharedConnections * query.spec->maxConnections
-                                        / std::max(1U, share.instances)
-                              : 1.0;
+    const auto part = linkPart(query.spec, share).value_or(1);
     const auto whole = part * static_cast<double>(list.size());
-    const auto kept
-            = part < 1 ? std::max(std::size_t(1), static_cast<std::size_t>(whole)) : list.size();
+    for (const auto index : list) {
+        leafAt(table, index).preferred = true;
+        leafAt(table, index).linkShare = std::min(1.0, whole);
+    }
+    if (part >= 1)
+        return;
+    const auto kept = std::max(std::size_t(1), static_cast<std::size_t>(whole));
     const auto rank = [&](LeafIndexNumber index) {
         const auto &leaf = leafAt(table, index);
         return std::pair(leaf.record.domain != query.ownDomain,
@@ -121,7 +135,6 @@
             return isUsable(table, leafAt(table, other)) && rank(other) < rank(index);
         });
         leafAt(table, index).preferred = static_cast<std::size_t>(better) < kept;
-        leafAt(table, index).linkShare = std::min(1.0, whole);
     }
 }
 
@@ -134,20 +147,19 @@
                           [&](LeafIndexNumber index) { return condition(leafAt(table, index)); });
 }
 
-auto mayTakeCold(const LeafState &leaf, const PlacementQuery &query, TimePoint now) -> bool
+// True while the leaf is cold and its service states what a cold leaf tolerates.
+auto isRateLimited(const LeafState &leaf, const PlacementQuery &query, TimePoint now) -> bool
 {
-    const auto limited = query.spec != nullptr && query.spec->coldRate > 0;
-    return !limited || now >= leaf.coldUntil || now >= leaf.nextColdSend;
+    return query.spec != nullptr && query.spec->coldRate > 0 && now < leaf.coldUntil;
 }
 
 } // namespace
 
 auto linkLimit(const ServiceSpec *spec, const InstanceShare &share) -> std::size_t
 {
-    if (spec == nullptr || spec->maxConnections == 0)
-        return std::numeric_limits<std::size_t>::max();
-    const auto part = sharedConnections * spec->maxConnections / std::max(1U, share.instances);
-    return std::max(std::size_t(1), static_cast<std::size_t>(part));
+    const auto part = linkPart(spec, share);
+    return part ? std::max(std::size_t(1), static_cast<std::size_t>(*part))
+                : std::numeric_limits<std::size_t>::max();
 }
 
 auto idleTime(const LeafState &leaf, const Link &link) -> Duration
@@ -174,7 +186,8 @@
         auto &leaf = leafAt(table, index);
         const auto wasTried
                 = std::find(query.tried.begin(), query.tried.end(), index) != query.tried.end();
-        if (wasTried || !isUsable(table, leaf) || !mayTakeCold(leaf, query, now))
+        const auto tooEarly = isRateLimited(leaf, query, now) && now < leaf.nextColdSend;
+        if (wasTried || tooEarly || !isUsable(table, leaf))
             continue;
         const auto *link = newestIdle(leaf, now);
         if (link == nullptr && leaf.links.size() >= limit)
@@ -185,17 +198,14 @@
         if (time >= bestTime)
             continue;
         bestTime = time;
-        best = Placement{index,
-                         {},
-                         isStalled(leaf, now) || now < leaf.avoidUntil
-                                 || isUnreachable(leaf, query, now)};
+        best = Placement{index, {}, isDoubtful(leaf, query, now)};
         if (link != nullptr)
             best->idleLink = link->id;
     }
     if (!best)
         return best;
     auto &leaf = leafAt(table, best->leaf);
-    if (now < leaf.coldUntil && query.spec != nullptr && query.spec->coldRate > 0) {
+    if (isRateLimited(leaf, query, now)) {
         const auto rate = sharedColdRate * share.coldOvershoot * query.spec->coldRate;
         leaf.nextColdSend = now + scaled(std::chrono::seconds(1), share.instances / rate);
     }
--- a/core/placement.h
+++ b/core/placement.h
@@ -13,6 +13,9 @@
 
 namespace crocusreach::forward {
 
+// A new connection takes a leaf up to this time.
+constexpr Duration linkOpenTime = std::chrono::milliseconds(6);
+
 // What this instance may use of a leaf, as its part of what all instances may.
 struct InstanceShare
 {
