Name the place of one request's fault from the logs of a front

Cause: an on-call engineer had to read lines of events 400 to 403 by hand, and a send that failed or stayed unanswered without a repeat had no line at all. The time that the route allows was not logged, so that a timeout of 385 ms looked like a caller who gave 2,997 ms.

The log lines of a front move out of front.cpp to front/frontlog. The hand-played forwarder of core_forwarder moves to tests/forwarderbench.h.

--- a/base/log.cpp
+++ b/base/log.cpp
@@ -94,6 +94,8 @@
          "a caller's request can't be read or forwarded"},
         {LogEvent::SendRepeated, "send_repeated", Severity::Info,
          "a request is sent to a further leaf"},
+        {LogEvent::SendFailed, "send_failed", Severity::Info,
+         "a leaf's answer to a request doesn't count, or comes too late for it"},
         {LogEvent::InvariantViolated, "invariant_violated", Severity::Error,
          "a guaranteed property was violated"},
 });
@@ -252,6 +254,11 @@
 }
 
 auto logEvent(LogEvent event, std::initializer_list<LogField> fields) -> void
+{
+    logEvent(event, std::span(fields.begin(), fields.size()));
+}
+
+auto logEvent(LogEvent event, std::span<const LogField> fields) -> void
 {
     if (activeSink == nullptr || infoOf(event).severity < leastSeverity.load())
         return;
@@ -259,7 +266,7 @@
     if (!leftOut)
         return;
     auto logger = boost::log::sources::logger();
-    auto line = "time=" + timeText() + " " + formatLogLine(event, {fields.begin(), fields.size()});
+    auto line = "time=" + timeText() + " " + formatLogLine(event, fields);
     if (*leftOut != 0)
         line.append(" left_out=").append(std::to_string(*leftOut));
     BOOST_LOG(logger) << line;
--- a/base/log.h
+++ b/base/log.h
@@ -49,6 +49,7 @@
     RequestDegraded = 401,
     RequestRejected = 402,
     SendRepeated = 403,
+    SendFailed = 404,
     InvariantViolated = 900,
 };
 
@@ -87,6 +88,7 @@
 // next line that is written tells their number. The first of a second always is.
 constexpr std::uint32_t linesPerSecond = 40;
 
+auto logEvent(LogEvent event, std::span<const LogField> fields) -> void;
 auto logEvent(LogEvent event, std::initializer_list<LogField> fields = {}) -> void;
 
 } // namespace crocusreach
--- a/core/diagnosis.cpp
+++ b/core/diagnosis.cpp
@@ -345,41 +345,6 @@
 
 } // namespace
 
-auto toString(FaultPlace place) -> std::string_view
-{
-    switch (place) {
-    case FaultPlace::NoFault:
-        return "no_fault";
-    case FaultPlace::NotEnoughEvidence:
-        return "not_enough_evidence";
-    case FaultPlace::FailureDomainOut:
-        return "failure_domain_out";
-    case FaultPlace::IndexChange:
-        return "index_change";
-    case FaultPlace::ColdTarget:
-        return "cold_target";
-    case FaultPlace::CapReached:
-        return "cap_reached";
-    case FaultPlace::SilentConnection:
-        return "silent_connection";
-    case FaultPlace::SlowTarget:
-        return "slow_target";
-    case FaultPlace::FailingTarget:
-        return "failing_target";
-    case FaultPlace::SlowLink:
-        return "slow_link";
-    case FaultPlace::HolderUnreachable:
-        return "holder_unreachable";
-    case FaultPlace::OwnInstanceOverloaded:
-        return "own_instance_overloaded";
-    case FaultPlace::ShortDeadline:
-        return "short_deadline";
-    case FaultPlace::StoreUnavailable:
-        return "store_unavailable";
-    }
-    return "invalid";
-}
-
 auto diagnose(const RollingAccounts &accounts, const ClusterView &view, const Service &service)
         -> Diagnosis
 {
--- a/core/diagnosis.h
+++ b/core/diagnosis.h
@@ -2,6 +2,7 @@
 
 #include "account.h"
 #include "clusterview.h"
+#include "finding.h"
 #include "types.h"
 
 #include <string>
@@ -11,35 +12,6 @@
 
 namespace crocusreach {
 
-enum class FaultPlace : std::uint8_t {
-    NoFault,
-    NotEnoughEvidence,
-    FailureDomainOut,
-    IndexChange,
-    ColdTarget,
-    CapReached,
-    SilentConnection,
-    SlowTarget,
-    FailingTarget,
-    SlowLink,
-    HolderUnreachable,
-    OwnInstanceOverloaded,
-    ShortDeadline,
-    StoreUnavailable,
-};
-
-auto toString(FaultPlace place) -> std::string_view;
-
-// One possible place with its evidence. The weight is the part of shards asked that it explains as
-// missing, plus the part of the attempts' time that it explains; 0 to 2.
-struct Finding
-{
-    FaultPlace place = FaultPlace::NoFault;
-    std::string where; // target, failure domain or instance; empty if the service as a whole
-    double weight = 0;
-    std::string sentence; // plain sentence with the figures
-};
-
 struct Diagnosis
 {
     std::string service;
--- a/core/forwardcalls.cpp
+++ b/core/forwardcalls.cpp
@@ -18,25 +18,45 @@
     summary.end = end;
     summary.spent = now - call.arrivedAt;
     summary.timeLeftAtArrival = call.request->timeLeft;
+    summary.allowed = call.endAt - call.arrivedAt;
     summary.parts = call.parts.size();
     summary.missing = missingParts(call);
     summary.sends = call.sends;
     summary.hedges = call.hedges;
     summary.retries = call.retries;
     summary.late = summary.spent > call.route->targetLatency;
+    summary.usualLatency = usualLatency(*call.stats, *call.route);
     auto leaf = call.lastLeaf;
+    summary.leafTook = call.lastTook;
     for (const auto &part : call.parts) {
-        if (part.state != PartState::Answered && !part.tried.empty())
-            leaf = part.tried.back();
+        if (part.state == PartState::Answered || part.tried.empty())
+            continue;
+        leaf = part.tried.back();
+        if (!part.running.empty())
+            summary.leafTook = now - forwarder.sends.at(part.running.back()).sentAt;
     }
     if (leaf) {
         const auto &state = leafAt(forwarder.leafs, *leaf);
         summary.waitedFor = state.record.id;
         summary.leafAge = now - state.slownessAt;
+        summary.leafCold = now < state.coldUntil;
     }
     return summary;
 }
 
+// The sends of unanswered parts, whose answers come too late for the call.
+auto noteUnanswered(Forwarder &forwarder, const Call &call, TimePoint now,
+                    std::vector<ForwardAction> &actions) -> void
+{
+    for (const auto &part : call.parts) {
+        if (part.state != PartState::Open)
+            continue;
+        for (const auto id : part.running)
+            noteFailedSend(forwarder, call, forwarder.sends.at(id), RepeatReason::Slow, now,
+                           actions);
+    }
+}
+
 } // namespace
 
 auto answerCaller(CallId call, CallAnswer &&answer, std::vector<ForwardAction> &actions) -> void
@@ -50,6 +70,7 @@
              std::vector<ForwardAction> &actions) -> void
 {
     ++forwarder.counters.ends.at(static_cast<std::size_t>(end));
+    noteUnanswered(forwarder, call, now, actions);
     actions.emplace_back(CallEnded{summarize(forwarder, call, end, now)});
     if (call.waiting)
         forwarder.waiting.erase(*call.waiting);
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -144,11 +144,13 @@
     }
 }
 
-auto takeAnswer(Call &call, Part &part, const Send &send, const LeafAnswer &answer) -> void
+auto takeAnswer(Call &call, Part &part, const Send &send, const LeafAnswer &answer, TimePoint now)
+        -> void
 {
     if (part.state != PartState::Open)
         return;
     call.lastLeaf = send.leaf;
+    call.lastTook = now - send.sentAt;
     if (answer.kind == LeafAnswerKind::Success) {
         part.state = PartState::Answered;
         part.answer = answer;
@@ -181,6 +183,8 @@
     count(forwarder.counters, event.answer.kind);
     auto &leaf = leafAt(forwarder.leafs, send.leaf);
     const auto call = forwarder.calls.find(send.call);
+    if (call != forwarder.calls.end() && event.answer.kind != LeafAnswerKind::Success)
+        noteFailedSend(forwarder, *call->second, send, toReason(event.answer.kind), now, actions);
     observe(leaf, send, event.answer, now);
     noteDomainAnswer(forwarder.reachability, leaf.record.domain, now);
     if (!event.linkUsable || !leaf.listed)
@@ -188,7 +192,7 @@
     else
         freeLink(forwarder, leaf, event, send.link, now);
     if (call != forwarder.calls.end()) {
-        takeAnswer(*call->second, call->second->parts[send.part], send, event.answer);
+        takeAnswer(*call->second, call->second->parts[send.part], send, event.answer, now);
         advance(forwarder, *call->second, now, actions);
     }
     advanceWaiting(forwarder, now, actions);
@@ -210,6 +214,7 @@
     const auto call = forwarder.calls.find(send.call);
     if (call != forwarder.calls.end()) {
         auto &part = call->second->parts[send.part];
+        noteFailedSend(forwarder, *call->second, send, toReason(event.failure), now, actions);
         if (part.state == PartState::Open)
             failPart(*call->second, part, toReason(event.failure),
                      event.failure != SendFailure::NotSent);
@@ -297,8 +302,10 @@
         noteFailure(leafAt(forwarder.leafs, send.leaf), now);
     closeLink(forwarder, send.link, actions);
     const auto call = forwarder.calls.find(send.call);
-    if (call != forwarder.calls.end())
+    if (call != forwarder.calls.end()) {
         call->second->parts[send.part].mayHaveRun = true;
+        noteFailedSend(forwarder, *call->second, send, RepeatReason::Slow, now, actions);
+    }
 }
 
 auto take(Forwarder &forwarder, const ForwarderTick & /*event*/, TimePoint now,
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -233,6 +233,7 @@
 };
 
 auto toString(CallEnd end) -> std::string_view;
+auto callEndFromString(std::string_view name) -> std::optional<CallEnd>;
 
 struct CallSummary
 {
@@ -241,15 +242,19 @@
     std::uint64_t version = 0; // of the desired state that decided
     CallEnd end = CallEnd::Complete;
     Duration spent = {};
-    Duration timeLeftAtArrival = {};
+    Duration timeLeftAtArrival = {}; // as the caller stated
+    Duration allowed = {}; // the caller's time or the route's, less what the way back takes
     std::size_t parts = 0;
     std::size_t missing = 0;
     std::uint32_t sends = 0;
     std::uint32_t hedges = 0;
     std::uint32_t retries = 0;
     bool late = false; // beyond the route's target latency
+    Duration usualLatency = {}; // of a leaf on the route
     std::string waitedFor; // leaf of the last answer, or one that was missing
+    Duration leafTook = {}; // from the send to that leaf until its answer, or the call's end
     Duration leafAge = {}; // since that leaf's last answer
+    bool leafCold = false;
 };
 
 struct AnswerCaller
@@ -264,9 +269,19 @@
 };
 
 // Why a part of a call is sent once more.
-enum class RepeatReason : std::uint8_t { Slow, NotRun, OtherLeaf, Failure, Lost, Invalid, NotSent };
+enum class RepeatReason : std::uint8_t {
+    Slow,
+    NotRun,
+    OtherLeaf,
+    Failure,
+    Lost,
+    Invalid,
+    NotSent,
+    Count
+};
 
 auto toString(RepeatReason reason) -> std::string_view;
+auto repeatReasonFromString(std::string_view name) -> std::optional<RepeatReason>;
 
 struct SendRepeated
 {
@@ -278,6 +293,20 @@
     Duration spent = {}; // since the request's arrival
 };
 
-using ForwardAction = std::variant<SendToLeaf, CloseLink, AnswerCaller, CallEnded, SendRepeated>;
+// A send that brought no answer that counts, or none before its call's end.
+struct FailedSend
+{
+    std::string requestId;
+    std::string service;
+    std::string leaf;
+    std::string domain; // of the leaf
+    RepeatReason reason = RepeatReason::Slow; // Slow: no answer yet
+    Duration waited = {}; // since it was sent
+    Duration leafSilence = {}; // since the leaf's last answer of any kind to this instance
+    bool leafCold = false;
+};
+
+using ForwardAction
+        = std::variant<SendToLeaf, CloseLink, AnswerCaller, CallEnded, SendRepeated, FailedSend>;
 
 } // namespace crocusreach::forward
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -183,6 +183,22 @@
 
 } // namespace
 
+auto noteFailedSend(Forwarder &forwarder, const Call &call, const Send &send, RepeatReason reason,
+                    TimePoint now, std::vector<ForwardAction> &actions) -> void
+{
+    const auto &leaf = leafAt(forwarder.leafs, send.leaf);
+    auto failed = FailedSend();
+    failed.requestId = call.request->id;
+    failed.service = call.parts[send.part].service;
+    failed.leaf = leaf.record.id;
+    failed.domain = leaf.record.domain;
+    failed.reason = reason;
+    failed.waited = now - send.sentAt;
+    failed.leafSilence = now - leaf.lastAnswerAt;
+    failed.leafCold = now < leaf.coldUntil;
+    actions.emplace_back(std::move(failed));
+}
+
 auto setAlarm(Forwarder &forwarder, TimePoint at, bool ofSend, std::uint64_t id) -> void
 {
     forwarder.alarms.push({at, ofSend, id});
--- a/core/forwardsend.h
+++ b/core/forwardsend.h
@@ -14,6 +14,10 @@
 // Removes a send and its trace at the leaf and the part.
 auto endSend(Forwarder &forwarder, const Send &send) -> void;
 
+// Reports a send of the call that has failed, or that gets no answer in time.
+auto noteFailedSend(Forwarder &forwarder, const Call &call, const Send &send, RepeatReason reason,
+                    TimePoint now, std::vector<ForwardAction> &actions) -> void;
+
 auto setAlarm(Forwarder &forwarder, TimePoint at, bool ofSend, std::uint64_t id) -> void;
 
 } // namespace crocusreach::forward
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -52,6 +52,7 @@
     std::uint32_t retries = 0;
     std::optional<WaitingKey> waiting;
     std::optional<LeafIndexNumber> lastLeaf; // of the latest answer
+    Duration lastTook = {}; // from the send to that answer
 };
 
 struct Send
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -3,6 +3,7 @@
 #include "apicall.h"
 #include "files.h"
 #include "formats/configurationjson.h"
+#include "formats/requestlog.h"
 #include "formats/settings.h"
 #include "formats/sheetcsv.h"
 #include "inforce.h"
@@ -315,10 +316,60 @@
     return query(options, {"GET", "/admin/v1/status"}, statusText);
 }
 
+// What the log of one instance says of the request; null if it has no line of it.
+auto explainLog(const std::string &path, std::string_view content, const std::string &requestId)
+        -> Json
+{
+    auto log = RequestLog();
+    log.requestId = requestId;
+    while (!content.empty()) {
+        const auto end = std::min(content.find('\n'), content.size());
+        takeLine(log, content.substr(0, end));
+        content.remove_prefix(std::min(end + 1, content.size()));
+    }
+    if (log.lines.empty())
+        return {};
+    const auto finding = forward::diagnoseRequest(log.history);
+    auto json = Json::object();
+    json["log"] = path;
+    json["lines"] = log.lines;
+    json["place"] = toString(finding.place);
+    json["where"] = finding.where;
+    json["sentence"] = finding.sentence;
+    return json;
+}
+
+auto runExplainRequest(const Options &options) -> ExitCode
+{
+    auto paths = std::vector<std::string>(options.words.begin() + 1, options.words.end());
+    if (paths.empty())
+        paths.emplace_back("-");
+    auto logs = Json::array();
+    for (const auto &path : paths) {
+        const auto content = readFile(path);
+        if (failed(content))
+            return fail(options, "usage", describe(std::get<Error>(content)), ExitCode::BadUsage);
+        auto log = explainLog(path, std::get<std::string>(content), options.request);
+        if (!log.is_null())
+            logs.push_back(std::move(log));
+    }
+    if (logs.empty())
+        return fail(options, "not_found",
+                    "not known: no line of request " + options.request
+                            + "; its instance may have left the line out or been killed",
+                    ExitCode::Failure);
+    auto result = Json::object();
+    result["request"] = options.request;
+    result["logs"] = std::move(logs);
+    return printReply(options, result, requestText);
+}
+
 auto runExplain(const Options &options) -> ExitCode
 {
+    if (!options.request.empty())
+        return runExplainRequest(options);
     if (options.words.size() != 1 || !isName(options.service))
-        return badUsage(options, "explain needs --service NAME");
+        return badUsage(options, "explain needs --service NAME or --request ID");
     return query(options, {"GET", "/admin/v1/explain?service=" + options.service}, explanationText);
 }
 
--- a/ctl/options.cpp
+++ b/ctl/options.cpp
@@ -16,6 +16,7 @@
 DEFINE_string(confirm, "", "token that confirms the plan of a sheet");
 DEFINE_string(reason, "", "reason that is recorded with a decision");
 DEFINE_string(service, "", "service to explain");
+DEFINE_string(request, "", "id of the request to explain");
 DEFINE_string(change_id, "", "change id of an earlier try whose outcome is unknown");
 DEFINE_int64(revision, -1, "revision that a configuration is based on");
 // NOLINTEND
@@ -46,6 +47,9 @@
 What is going on
   status                 the instance, the members of its cell and the leafs that it holds
   explain --service S    the most likely place of a fault, with the evidence
+  explain --request ID [LOG...]
+                         the same for one request, from the log of one instance a file, or from
+                         standard input; asks no instance
   settings check FILE    check the settings file of an instance; asks no instance
 
 Flags
@@ -158,6 +162,7 @@
     options.confirm = FLAGS_confirm;
     options.reason = FLAGS_reason;
     options.service = FLAGS_service;
+    options.request = FLAGS_request;
     options.changeId = FLAGS_change_id;
     if (FLAGS_revision >= 0)
         options.revision = static_cast<std::uint64_t>(FLAGS_revision);
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -23,6 +23,7 @@
     std::vector<std::string> addresses; // IP:port of administration listeners
     std::string token; // empty: none
     std::string service; // of explain
+    std::string request; // of explain: a request's id
     std::string reason;
     std::string confirm; // token of a sheet's plan
     std::string changeId; // empty: a new one
--- a/ctl/text.cpp
+++ b/ctl/text.cpp
@@ -169,6 +169,19 @@
     return text;
 }
 
+auto requestText(const Json &result) -> std::string
+{
+    auto text = std::string();
+    for (const auto &log : result["logs"]) {
+        text.append(log["log"].get<std::string>()).append(":\n");
+        for (const auto &line : log["lines"])
+            text.append("  ").append(line.get<std::string>()).append("\n");
+        text.append(log["place"].get<std::string>()).append(": ");
+        text.append(log["sentence"].get<std::string>()).append("\n");
+    }
+    return text;
+}
+
 auto errorText(const Json &error) -> std::string
 {
     auto text = fieldText(error, "code") + ": " + fieldText(error, "message") + "\n";
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "frontlog.h"
 
 #include <algorithm>
 
@@ -13,69 +14,6 @@
 
 constexpr auto metricsTarget = std::string_view("/metrics");
 
-auto milliseconds(Duration duration) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-auto logEnd(const CallSummary &summary) -> void
-{
-    const auto good = summary.end == CallEnd::Complete && !summary.late;
-    logEvent(good ? LogEvent::RequestEnded : LogEvent::RequestDegraded,
-             {{"request", summary.requestId},
-              {"end", std::string(toString(summary.end))},
-              {"route", summary.route},
-              {"version", std::to_string(summary.version)},
-              {"spent_ms", milliseconds(summary.spent)},
-              {"time_left_ms", milliseconds(summary.timeLeftAtArrival)},
-              {"late", summary.late ? "yes" : "no"},
-              {"parts", std::to_string(summary.parts)},
-              {"missing", std::to_string(summary.missing)},
-              {"sends", std::to_string(summary.sends)},
-              {"hedges", std::to_string(summary.hedges)},
-              {"retries", std::to_string(summary.retries)},
-              {"waited_for", summary.waitedFor},
-              {"leaf_age_ms", milliseconds(summary.leafAge)}});
-}
-
-auto logRepeat(const SendRepeated &repeated) -> void
-{
-    logEvent(LogEvent::SendRepeated, {{"request", repeated.requestId},
-                                      {"service", repeated.service},
-                                      {"reason", std::string(toString(repeated.reason))},
-                                      {"former_leaf", repeated.formerLeaf},
-                                      {"leaf", repeated.leaf},
-                                      {"spent_ms", milliseconds(repeated.spent)}});
-}
-
-auto logLeafs(const LeafsRegistered &event) -> void
-{
-    for (const auto &leaf : event.leafs) {
-        logEvent(LogEvent::LeafRegistered, {{"leaf", leaf.id},
-                                            {"service", leaf.service},
-                                            {"address", leaf.address},
-                                            {"domain", leaf.domain},
-                                            {"draining", leaf.draining ? "yes" : "no"},
-                                            {"cold_ms", milliseconds(leaf.coldLeft)},
-                                            {"revision", std::to_string(leaf.revision)}});
-    }
-}
-
-auto logRemoved(const LeafsRemoved &event) -> void
-{
-    for (const auto &id : event.ids)
-        logEvent(LogEvent::LeafRemoved,
-                 {{"leaf", id}, {"store_was_away", event.registryWasAway ? "yes" : "no"}});
-}
-
-auto logEvacuations(const DomainsEvacuated &event) -> void
-{
-    auto names = std::string();
-    for (const auto &domain : event.domains)
-        names.append(names.empty() ? "" : ",").append(domain);
-    logEvent(LogEvent::EvacuationsChanged, {{"domains", names}});
-}
-
 } // namespace
 
 Front::Front(const FrontSettings &settings, FrontCodec givenCodec, GMainContext *context)
@@ -174,49 +112,32 @@
                           [this](AnswerCaller &&answer) { this->callers.post(std::move(answer)); },
                           [this](CallEnded &&ended) {
                               recordEnd(this->metrics, ended.summary);
-                              logEnd(ended.summary);
+                              logEvent(eventOf(ended.summary), fieldsOf(ended.summary));
                           },
-                          [](const SendRepeated &repeated) { logRepeat(repeated); }},
+                          [](const SendRepeated &repeated) {
+                              logEvent(LogEvent::SendRepeated, fieldsOf(repeated));
+                          },
+                          [](const FailedSend &failed) {
+                              logEvent(LogEvent::SendFailed, fieldsOf(failed));
+                          }},
                std::move(action));
 }
 
 auto Front::take(ForwardEvent &&event) -> void
 {
-    if (const auto *const routes = std::get_if<RoutesChanged>(&event)) {
-        if (routes->table->version > this->version) {
-            this->version = routes->table->version;
-            this->callers.post(routes->table->limits);
-            logEvent(LogEvent::RoutesInForce,
-                     {{"version", std::to_string(this->version)},
-                      {"routes", std::to_string(routes->table->routes.size())}});
-        }
+    const auto *const routes = std::get_if<RoutesChanged>(&event);
+    if (routes != nullptr && routes->table->version > this->version) {
+        this->version = routes->table->version;
+        this->callers.post(routes->table->limits);
+        logRoutes(*routes->table);
     }
-    if (const auto *const leafsRegistered = std::get_if<LeafsRegistered>(&event))
-        logLeafs(*leafsRegistered);
-    if (const auto *const removed = std::get_if<LeafsRemoved>(&event))
-        logRemoved(*removed);
-    if (const auto *const evacuated = std::get_if<DomainsEvacuated>(&event))
-        logEvacuations(*evacuated);
-    if (const auto *const counted = std::get_if<InstancesCounted>(&event))
-        logEvent(LogEvent::InstancesCounted, {{"instances", std::to_string(counted->instances)}});
+    logLearned(event);
     this->forwarder.post(std::move(event));
 }
 
 auto Front::take(const StoreNotification &notification) -> void
 {
-    const auto source = notification.source.empty() ? std::string("store") : notification.source;
-    const auto channel = std::string(toString(notification.channel));
-    switch (notification.notice) {
-    case StoreNotice::Lost:
-        return logEvent(LogEvent::StoreUnreachable,
-                        {{"source", source},
-                         {"channel", channel},
-                         {"failure", std::string(toString(*notification.failure))}});
-    case StoreNotice::Regained:
-        return logEvent(LogEvent::StoreReachable, {{"source", source}, {"channel", channel}});
-    case StoreNotice::SourceChanged:
-        return logEvent(LogEvent::SourceChanged, {{"source", source}});
-    }
+    logNotification(notification);
 }
 
 auto Front::take(const ObjectRejected &rejected) -> void
--- /dev/null
+++ b/front/frontlog.cpp
@@ -0,0 +1,139 @@
+#include "frontlog.h"
+
+#include <variant>
+
+namespace crocusreach {
+
+using namespace forward;
+
+namespace {
+
+auto milliseconds(Duration duration) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+auto yesOrNo(bool value) -> std::string
+{
+    return value ? "yes" : "no";
+}
+
+auto log(const LeafsRegistered &event) -> void
+{
+    for (const auto &leaf : event.leafs) {
+        logEvent(LogEvent::LeafRegistered, {{"leaf", leaf.id},
+                                            {"service", leaf.service},
+                                            {"address", leaf.address},
+                                            {"domain", leaf.domain},
+                                            {"draining", yesOrNo(leaf.draining)},
+                                            {"cold_ms", milliseconds(leaf.coldLeft)},
+                                            {"revision", std::to_string(leaf.revision)}});
+    }
+}
+
+auto log(const LeafsRemoved &event) -> void
+{
+    for (const auto &id : event.ids)
+        logEvent(LogEvent::LeafRemoved,
+                 {{"leaf", id}, {"store_was_away", yesOrNo(event.registryWasAway)}});
+}
+
+auto log(const DomainsEvacuated &event) -> void
+{
+    auto names = std::string();
+    for (const auto &domain : event.domains)
+        names.append(names.empty() ? "" : ",").append(domain);
+    logEvent(LogEvent::EvacuationsChanged, {{"domains", names}});
+}
+
+auto log(const InstancesCounted &event) -> void
+{
+    logEvent(LogEvent::InstancesCounted, {{"instances", std::to_string(event.instances)}});
+}
+
+} // namespace
+
+auto eventOf(const CallSummary &summary) -> LogEvent
+{
+    const auto good = summary.end == CallEnd::Complete && !summary.late;
+    return good ? LogEvent::RequestEnded : LogEvent::RequestDegraded;
+}
+
+auto fieldsOf(const CallSummary &summary) -> std::vector<LogField>
+{
+    return {{"request", summary.requestId},
+            {"end", std::string(toString(summary.end))},
+            {"route", summary.route},
+            {"version", std::to_string(summary.version)},
+            {"spent_ms", milliseconds(summary.spent)},
+            {"time_left_ms", milliseconds(summary.timeLeftAtArrival)},
+            {"allowed_ms", milliseconds(summary.allowed)},
+            {"late", yesOrNo(summary.late)},
+            {"parts", std::to_string(summary.parts)},
+            {"missing", std::to_string(summary.missing)},
+            {"sends", std::to_string(summary.sends)},
+            {"hedges", std::to_string(summary.hedges)},
+            {"retries", std::to_string(summary.retries)},
+            {"usual_ms", milliseconds(summary.usualLatency)},
+            {"waited_for", summary.waitedFor},
+            {"leaf_took_ms", milliseconds(summary.leafTook)},
+            {"leaf_age_ms", milliseconds(summary.leafAge)},
+            {"leaf_cold", yesOrNo(summary.leafCold)}};
+}
+
+auto fieldsOf(const SendRepeated &repeated) -> std::vector<LogField>
+{
+    return {{"request", repeated.requestId},
+            {"service", repeated.service},
+            {"reason", std::string(toString(repeated.reason))},
+            {"former_leaf", repeated.formerLeaf},
+            {"leaf", repeated.leaf},
+            {"spent_ms", milliseconds(repeated.spent)}};
+}
+
+auto fieldsOf(const FailedSend &failed) -> std::vector<LogField>
+{
+    return {{"request", failed.requestId},
+            {"service", failed.service},
+            {"leaf", failed.leaf},
+            {"domain", failed.domain},
+            {"reason", std::string(toString(failed.reason))},
+            {"waited_ms", milliseconds(failed.waited)},
+            {"leaf_silence_ms", milliseconds(failed.leafSilence)},
+            {"leaf_cold", yesOrNo(failed.leafCold)}};
+}
+
+auto logLearned(const ForwardEvent &event) -> void
+{
+    std::visit(
+            [](const auto &content) {
+                if constexpr (requires { log(content); })
+                    log(content);
+            },
+            event);
+}
+
+auto logRoutes(const RouteTable &table) -> void
+{
+    logEvent(LogEvent::RoutesInForce, {{"version", std::to_string(table.version)},
+                                       {"routes", std::to_string(table.routes.size())}});
+}
+
+auto logNotification(const StoreNotification &notification) -> void
+{
+    const auto source = notification.source.empty() ? std::string("store") : notification.source;
+    const auto channel = std::string(toString(notification.channel));
+    switch (notification.notice) {
+    case StoreNotice::Lost:
+        return logEvent(LogEvent::StoreUnreachable,
+                        {{"source", source},
+                         {"channel", channel},
+                         {"failure", std::string(toString(*notification.failure))}});
+    case StoreNotice::Regained:
+        return logEvent(LogEvent::StoreReachable, {{"source", source}, {"channel", channel}});
+    case StoreNotice::SourceChanged:
+        return logEvent(LogEvent::SourceChanged, {{"source", source}});
+    }
+}
+
+} // namespace crocusreach
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -1,180 +1,23 @@
 #include <catch2/catch.hpp>
 
-#include "core/forwarder.h"
-#include "core/records.h"
+#include "forwarderbench.h"
 
-#include <algorithm>
 #include <map>
-#include <string>
-#include <vector>
 
 using namespace crocusreach;
 using namespace crocusreach::forward;
 using namespace std::chrono_literals;
 
-namespace {
-
-// One forwarder whose leafs are played by hand.
-struct Bench
-{
-    Bench()
-    {
-        auto settings = ForwarderSettings();
-        settings.domain = "muar-a";
-        settings.repeats = {0.2, 100, 10s};
-        settings.drainTime = 3s;
-        configure(this->forwarder, settings);
-        this->give(InstancesCounted{1});
-    }
-
-    auto give(const ForwardEvent &event) -> void
-    {
-        handle(this->forwarder, event, this->now, this->actions);
-    }
-
-    auto pass(Duration time) -> void
-    {
-        const auto end = this->now + time;
-        for (auto wake = nextWake(this->forwarder); wake && *wake <= end;
-             wake = nextWake(this->forwarder)) {
-            this->now = std::max(this->now, *wake);
-            this->give(ForwarderTick());
-        }
-        this->now = end;
-    }
-
-    auto addLeaf(const std::string &service, const std::string &id,
-                 const std::string &domain = "muar-a") -> void
-    {
-        this->give(LeafsRegistered{{record(service, id, domain)}});
-    }
-
-    auto record(const std::string &service, const std::string &id,
-                const std::string &domain = "muar-a") -> LeafRecord
-    {
-        auto leaf = LeafRecord();
-        leaf.id = id;
-        leaf.service = service;
-        leaf.address = "10.0.0.1:" + std::to_string(1000 + ++this->revision);
-        leaf.domain = domain;
-        leaf.slots = 3;
-        leaf.revision = this->revision;
-        return leaf;
-    }
-
-    auto setRoute(const Route &route) -> void
-    {
-        auto table = std::make_shared<RouteTable>();
-        table->version = ++this->version;
-        table->routes = {route};
-        indexRoutes(*table);
-        this->give(RoutesChanged{table});
-        this->give(StateRead());
-    }
-
-    auto arrive(Duration timeLeft = 800ms) -> CallId
-    {
-        const auto call = CallId(++this->lastCall);
-        auto request = std::make_shared<ForwardRequest>();
-        request->id = "request-" + std::to_string(this->lastCall);
-        request->method = "GET";
-        request->host = "a.example";
-        request->target = "/all/1";
-        request->timeLeft = timeLeft;
-        this->give(RequestArrived{call, request});
-        return call;
-    }
-
-    // The sends since the last call of this function.
-    auto takeSends() -> std::vector<SendToLeaf>
-    {
-        auto sends = std::vector<SendToLeaf>();
-        std::erase_if(this->actions, [&](const ForwardAction &action) {
-            const auto *send = std::get_if<SendToLeaf>(&action);
-            if (send != nullptr)
-                sends.push_back(*send);
-            return send != nullptr;
-        });
-        return sends;
-    }
-
-    auto answer(const SendToLeaf &send, LeafAnswerKind kind = LeafAnswerKind::Success,
-                std::uint32_t status = 200) -> void
-    {
-        auto content = LeafAnswer();
-        content.kind = kind;
-        content.status = status;
-        content.receipt = "receipt of " + send.leafId;
-        content.body = std::string(recordBytes, send.leafId.back());
-        this->give(LeafAnswered{send.send, content, true, {}});
-    }
-
-    auto answerOf(CallId call) const -> const CallAnswer *
-    {
-        for (const auto &action : this->actions) {
-            const auto *answered = std::get_if<AnswerCaller>(&action);
-            if (answered != nullptr && answered->call == call)
-                return &answered->answer;
-        }
-        return nullptr;
-    }
-
-    template <typename Answer>
-    auto answerAs(CallId call) const -> const Answer *
-    {
-        const auto *answer = this->answerOf(call);
-        return answer == nullptr ? nullptr : std::get_if<Answer>(answer);
-    }
-
-    auto closedLinks() const -> std::size_t
-    {
-        return static_cast<std::size_t>(
-                std::count_if(this->actions.begin(), this->actions.end(), [](const auto &action) {
-                    return std::holds_alternative<CloseLink>(action);
-                }));
-    }
-
-    Forwarder forwarder;
-    TimePoint now = TimePoint(1h);
-    std::vector<ForwardAction> actions;
-    std::uint64_t revision = 0;
-    std::uint64_t version = 0;
-    std::uint64_t lastCall = 0;
-};
-
-auto gather(std::size_t shards, double ratio) -> Route
-{
-    auto route = Route();
-    route.name = "all";
-    route.host = "a.example";
-    route.pathPrefix = "/all/";
-    route.idempotent = true;
-    route.timeout = 800ms;
-    route.targetLatency = 120ms;
-    route.maxAttempts = 2;
-    for (std::size_t shard = 0; shard < shards; ++shard)
-        route.shards.push_back("shard-" + std::to_string(shard));
-    route.topRecords = 3;
-    route.minShardRatio = ratio;
-    return route;
-}
-
-auto single(bool idempotent) -> Route
-{
-    auto route = gather(0, 1);
-    route.split = {{"ledger", 1}};
-    route.idempotent = idempotent;
-    return route;
-}
-
-} // namespace
+using Bench = tests::ForwarderBench;
+using tests::gatherRoute;
+using tests::singleRoute;
 
 SCENARIO("a query over all shards")
 {
     auto bench = Bench();
     GIVEN("ten shards with two leafs each")
     {
-        bench.setRoute(gather(10, 0.89));
+        bench.setRoute(gatherRoute(10, 0.89));
         for (auto shard = 0; shard < 10; ++shard) {
             const auto service = "shard-" + std::to_string(shard);
             bench.addLeaf(service, service + "-a");
@@ -279,7 +122,7 @@
     }
     GIVEN("two of ten shards without any leaf")
     {
-        bench.setRoute(gather(10, 0.89));
+        bench.setRoute(gatherRoute(10, 0.89));
         for (auto shard = 0; shard < 8; ++shard)
             bench.addLeaf("shard-" + std::to_string(shard), "leaf-" + std::to_string(shard));
         const auto call = bench.arrive();
@@ -296,13 +139,13 @@
     }
     GIVEN("a desired state that replaces the shards while a query runs")
     {
-        bench.setRoute(gather(2, 1));
+        bench.setRoute(gatherRoute(2, 1));
         bench.addLeaf("shard-0", "old-0");
         bench.addLeaf("shard-1", "old-1");
         bench.addLeaf("shard-2", "new-2");
         const auto call = bench.arrive();
         const auto sends = bench.takeSends();
-        auto changed = gather(0, 1);
+        auto changed = gatherRoute(0, 1);
         changed.shards = {"shard-2"};
         bench.setRoute(changed);
         for (const auto &send : sends)
@@ -329,7 +172,7 @@
     auto bench = Bench();
     GIVEN("a request that may be repeated, and two leafs")
     {
-        bench.setRoute(single(true));
+        bench.setRoute(singleRoute(true));
         bench.addLeaf("ledger", "a");
         bench.addLeaf("ledger", "b", "muar-b");
         const auto call = bench.arrive();
@@ -384,7 +227,7 @@
     }
     GIVEN("a request that must not be repeated")
     {
-        bench.setRoute(single(false));
+        bench.setRoute(singleRoute(false));
         bench.addLeaf("ledger", "a");
         bench.addLeaf("ledger", "b", "muar-b");
         const auto call = bench.arrive();
@@ -438,7 +281,7 @@
     }
     GIVEN("a split by weight of three to one")
     {
-        auto route = single(true);
+        auto route = singleRoute(true);
         route.split = {{"ledger", 3}, {"archive", 1}};
         bench.setRoute(route);
         bench.addLeaf("ledger", "a");
@@ -461,7 +304,7 @@
 SCENARIO("what operators and leafs announce takes effect")
 {
     auto bench = Bench();
-    bench.setRoute(single(true));
+    bench.setRoute(singleRoute(true));
     bench.addLeaf("ledger", "a");
     bench.addLeaf("ledger", "b", "muar-b");
     const auto nextLeaf = [&bench] {
@@ -540,7 +383,7 @@
 {
     auto bench = Bench();
     bench.give(DomainsEvacuated{{"muar-a"}});
-    bench.setRoute(single(true));
+    bench.setRoute(singleRoute(true));
     bench.addLeaf("ledger", "a");
     bench.addLeaf("ledger", "b", "muar-b");
     const auto nextLeaf = [&bench] {
@@ -573,7 +416,7 @@
     {
         bench.pass(20ms);
         bench.addLeaf("ledger", "a");
-        bench.setRoute(single(true));
+        bench.setRoute(singleRoute(true));
         THEN("they are decided")
         {
             CHECK(bench.takeSends().size() == 1);
@@ -601,7 +444,7 @@
 SCENARIO("an instance whose way to all leafs is cut")
 {
     auto bench = Bench();
-    bench.setRoute(gather(6, 0.5));
+    bench.setRoute(gatherRoute(6, 0.5));
     for (auto shard = 0; shard < 6; ++shard)
         bench.addLeaf("shard-" + std::to_string(shard), "leaf-" + std::to_string(shard));
     bench.arrive();
@@ -642,7 +485,7 @@
 SCENARIO("a route most of whose leafs are silent")
 {
     auto bench = Bench();
-    bench.setRoute(gather(6, 0.5));
+    bench.setRoute(gatherRoute(6, 0.5));
     for (auto shard = 0; shard < 6; ++shard)
         bench.addLeaf("shard-" + std::to_string(shard), "leaf-" + std::to_string(shard));
     bench.arrive();
@@ -670,13 +513,7 @@
 SCENARIO("connections to a leaf are limited over all instances")
 {
     auto bench = Bench();
-    auto table = std::make_shared<RouteTable>();
-    table->version = 1;
-    table->routes = {single(true)};
-    table->services = {{"ledger", 20, 0}};
-    indexRoutes(*table);
-    bench.give(RoutesChanged{table});
-    bench.give(StateRead());
+    bench.setRoute(singleRoute(true), {{"ledger", 20, 0}});
     bench.give(InstancesCounted{4});
     bench.addLeaf("ledger", "a");
     GIVEN("a part of two connections, both in use")
--- a/tests/runtime_ctl.cpp
+++ b/tests/runtime_ctl.cpp
@@ -114,6 +114,38 @@
             CHECK(contains(output, "domain muar-a out"));
         }
     }
+    GIVEN("the log of a front with a request that timed out")
+    {
+        const auto line = std::string(
+                "time=2026-12-04T11:24:07.782Z event=401 name=request_degraded severity=warning "
+                "text=\"...\" request=r1 end=timed_out route=all version=3 spent_ms=385 "
+                "time_left_ms=2997 allowed_ms=385 late=no parts=1 missing=1 sends=1 hedges=0 "
+                "retries=0 usual_ms=125 waited_for=i-9 leaf_took_ms=385 leaf_age_ms=2129 "
+                "leaf_cold=no\n");
+        const auto log = folder.write("front.log", "no line of a log\n" + line);
+        const auto empty = folder.write("empty.log", "");
+        THEN("explain prints its lines and the place of the fault, and asks no instance")
+        {
+            const auto output = run("explain --request r1 " + empty + " " + log);
+            CHECK(output.exitCode == 0);
+            CHECK(contains(output, line));
+            CHECK(contains(output, "stalled_target: Leaf i-9 stood still"));
+            const auto json = Json::parse(run("explain --request r1 --json " + log).text);
+            CHECK(json["logs"][0]["place"] == "stalled_target");
+            CHECK(json["logs"][0]["where"] == "i-9");
+        }
+        THEN("a log from standard input is read as well")
+        {
+            CHECK(contains(run("explain --request r1 < " + log), "stalled_target"));
+        }
+        THEN("a request without a line is not known, and a missing file is bad usage")
+        {
+            const auto output = run("explain --request r2 " + log);
+            CHECK(output.exitCode == 1);
+            CHECK(contains(output, "not known"));
+            CHECK(run("explain --request r1 " + log + ".gone").exitCode == 2);
+        }
+    }
     GIVEN("instances or a store that don't answer")
     {
         THEN("the next address is tried")
