Keep a leaf whose entry lapses and returns within one reply of the store

A watch that reaches the store late brings, for each leaf, the deletion of its entry and the new entry in one reply. The reader passed on all registrations of a reply first and all removals after them, so that the removals, which are deferred by 2.5 s, took effect on leafs that were back.

Ruled out: the watch that missed entries (event 208 shows all 39 leafs in the same reply, revisions 105 to 143), the evacuation (it begins 5 s later), the failure domain's suspicion (the refusals end as no_leaf).

Change: what a reply changed is passed on once per object, as the cache knows it after the whole reply. core_storereader has both orders; the case failed before.

Also, for the size to design for: the reachability check looks at the sends in progress instead of all leafs, entries are found by address instead of by a search over all leafs, and the place of a leaf that left is used again after ten minutes, so that the table no longer grows with every leaf that ever was. The signature covers the forwarder's decisions.

--- a/bench/signature.cpp
+++ b/bench/signature.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch.h"
 #include "core/query.h"
 #include "fixture.h"
+#include "forwardrun.h"
 
 #include <algorithm>
 #include <array>
@@ -9,8 +10,9 @@
 #include <queue>
 #include <span>
 
-// Runs a fixed load through the query core, the dispatch core and the placement under virtual time,
-// and prints a signature of every decision. A change of speed alone leaves the signature as it is.
+// Runs a fixed load through the query core, the dispatch core, the placement and the forwarder
+// under virtual time, and prints a signature of every decision. A change of speed alone leaves the
+// signature as it is.
 
 namespace crocusreach::bench {
 
@@ -220,6 +222,110 @@
     }
 }
 
+// How a leaf ends a send of the forwarder.
+enum class LeafReaction : std::uint8_t { Answers, Refuses, LosesConnection, IsSilent };
+
+struct LeafEvent
+{
+    TimePoint at;
+    SendId send = {};
+    LeafReaction reaction = LeafReaction::Answers;
+
+    auto operator>(const LeafEvent &other) const -> bool
+    {
+        return std::pair(this->at, this->send) > std::pair(other.at, other.send);
+    }
+};
+
+using LeafEvents = std::priority_queue<LeafEvent, std::vector<LeafEvent>, std::greater<>>;
+
+// Most answers take 1 to 12 ms; one in sixteen takes 60 ms more, and as many fail in each way.
+auto react(const forward::SendToLeaf &send, TimePoint now) -> LeafEvent
+{
+    const auto hash = hashPair(number(send.send), hashName(send.leafId));
+    auto event = LeafEvent{now + 1ms + std::chrono::microseconds(hash % 11000), send.send};
+    switch (hash / 11000 % 16) {
+    case 0:
+        event.at += 60ms;
+        break;
+    case 1:
+        event.reaction = LeafReaction::Refuses;
+        break;
+    case 2:
+        event.reaction = LeafReaction::LosesConnection;
+        break;
+    case 3:
+        event.reaction = LeafReaction::IsSilent;
+        break;
+    default:
+        break;
+    }
+    return event;
+}
+
+auto noteActions(ForwardRun &run, LeafEvents &events, Signature &signature) -> void
+{
+    for (const auto &action : run.actions) {
+        if (const auto *const send = std::get_if<forward::SendToLeaf>(&action)) {
+            note(signature, "forward send",
+                 hashPair(number(send->send), hashName(send->leafId + send->address)));
+            events.push(react(*send, run.now));
+        } else if (const auto *const ended = std::get_if<forward::CallEnded>(&action)) {
+            note(signature, "forward end",
+                 hashPair(static_cast<std::uint64_t>(ended->summary.end), ended->summary.missing));
+        } else if (const auto *const repeated = std::get_if<forward::SendRepeated>(&action)) {
+            note(signature, "forward repeat", static_cast<std::uint64_t>(repeated->reason));
+        } else if (const auto *const close = std::get_if<forward::CloseLink>(&action)) {
+            note(signature, "forward close", static_cast<std::uint64_t>(close->link));
+        }
+    }
+    run.actions.clear();
+}
+
+auto giveReaction(ForwardRun &run, const LeafEvent &event) -> void
+{
+    switch (event.reaction) {
+    case LeafReaction::Answers:
+        return run.give(makeAnswer(event.send, forward::LeafAnswerKind::Success));
+    case LeafReaction::Refuses:
+        return run.give(makeAnswer(event.send, forward::LeafAnswerKind::NotRun));
+    case LeafReaction::LosesConnection:
+        return run.give(forward::SendFailed{event.send, forward::SendFailure::Lost});
+    case LeafReaction::IsSilent:
+        return;
+    }
+}
+
+// Queries of one front over 15 shards, one each 10 ms.
+auto runForward(Signature &signature) -> void
+{
+    auto run = ForwardRun(15, leafCount);
+    auto events = LeafEvents();
+    const auto end = run.now + 10ms * static_cast<int>(queryCount);
+    auto nextArrival = run.now + 10ms;
+    while (run.now < end) {
+        auto next = nextArrival;
+        if (!events.empty())
+            next = std::min(next, events.top().at);
+        if (const auto wake = nextWake(run.forwarder))
+            next = std::min(next, std::max(run.now, *wake));
+        run.now = next;
+        run.give(forward::ForwarderTick());
+        noteActions(run, events, signature);
+        while (!events.empty() && events.top().at <= run.now) {
+            const auto event = events.top();
+            events.pop();
+            giveReaction(run, event);
+            noteActions(run, events, signature);
+        }
+        if (run.now >= nextArrival) {
+            run.arrive();
+            noteActions(run, events, signature);
+            nextArrival += 10ms;
+        }
+    }
+}
+
 auto print(const Signature &signature) -> void
 {
     for (const auto &[kind, count] : signature.counts)
@@ -236,6 +342,7 @@
     auto run = crocusreach::bench::Run();
     crocusreach::bench::runLoad(run);
     crocusreach::bench::runPlacement(run.signature);
+    crocusreach::bench::runForward(run.signature);
     crocusreach::bench::print(run.signature);
     return 0;
 }
--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -112,12 +112,10 @@
         return;
     forwarder.nextReachabilityCheck = now + reachabilityInterval;
     auto overdue = std::vector<OverdueSend>();
-    for (std::size_t number = 0; number < forwarder.leafs.leafs.size(); ++number) {
-        const auto &leaf = forwarder.leafs.leafs[number];
-        for (const auto &send : leaf.outstanding) {
-            if (send.overdueAt <= now)
-                overdue.push_back({leaf.record.domain, number});
-        }
+    for (const auto &[id, send] : forwarder.sends) {
+        if (send.overdueAt <= now)
+            overdue.push_back({leafAt(forwarder.leafs, send.leaf).record.domain,
+                               static_cast<std::size_t>(send.leaf)});
     }
     updateReachability(forwarder.reachability, overdue, now);
 }
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -258,7 +258,7 @@
                               ? reappearTime
                               : std::max(Duration(), forwarder.settings.drainTime - travelTime);
     for (const auto &id : event.ids)
-        removeLeaf(forwarder.leafs, id, now + wait);
+        removeLeaf(forwarder.leafs, id, now + wait, now);
 }
 
 auto take(Forwarder &forwarder, const DomainsEvacuated &event, TimePoint now,
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -61,6 +61,7 @@
     send.link = placement.idleLink ? *placement.idleLink : LinkId(++forwarder.lastLink);
     send.idempotent = call.route->idempotent;
     send.sentAt = now;
+    send.overdueAt = overdueAt;
     send.usual = usualLatency(*call.stats, *call.route);
     send.endAt = call.endAt + answerTravelTime;
     if (send.opened) {
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -66,6 +66,7 @@
     bool opened = false;
     bool idempotent = false;
     TimePoint sentAt = {};
+    TimePoint overdueAt = {}; // without an answer until then, the leaf counts as stalled
     Duration usual = {}; // latency of the route when it was sent
     TimePoint endAt = {}; // without an answer, the connection is closed
 };
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -26,10 +26,16 @@
 constexpr Duration longestAvoidance = std::chrono::seconds(2);
 constexpr std::uint32_t mostDoublings = 5;
 
-auto unlist(LeafTable &table, LeafIndexNumber index) -> void
+// The place of a leaf that has left is used again after this time. Calls that tried the leaf still
+// name its index; none takes nearly as long.
+constexpr Duration placeRetention = std::chrono::minutes(10);
+
+auto unlist(LeafTable &table, LeafIndexNumber index, TimePoint now) -> void
 {
     auto &leaf = leafAt(table, index);
     leaf.listed = false;
+    leaf.unlistedAt = now;
+    table.unlisted.push_back(index);
     leaf.removeAt.reset();
     auto &list = table.byService[leaf.record.service];
     std::erase(list, index);
@@ -51,14 +57,49 @@
     leaf.failureRateAt = now;
 }
 
+auto releaseAddress(LeafTable &table, LeafIndexNumber index) -> void
+{
+    const auto found = table.byAddress.find(leafAt(table, index).record.address);
+    if (found != table.byAddress.end() && found->second == index)
+        table.byAddress.erase(found);
+}
+
 // A leaf whose address a newer entry of another leaf has is gone.
-auto markReplaced(LeafTable &table, const LeafState &newer) -> void
+auto takeAddress(LeafTable &table, LeafIndexNumber index) -> void
 {
-    for (auto &leaf : table.leafs) {
-        if (leaf.listed && &leaf != &newer && leaf.record.address == newer.record.address
-            && leaf.record.revision < newer.record.revision)
-            leaf.misdirected = true;
+    auto &leaf = leafAt(table, index);
+    const auto [entry, isNew] = table.byAddress.try_emplace(leaf.record.address, index);
+    if (isNew || entry->second == index)
+        return;
+    auto &other = leafAt(table, entry->second);
+    if (other.listed && leaf.record.revision < other.record.revision) {
+        leaf.misdirected = true;
+        return;
     }
+    other.misdirected = other.misdirected || other.listed;
+    entry->second = index;
+}
+
+// The place of a leaf that left long ago, or a new one.
+auto takePlace(LeafTable &table, TimePoint now) -> LeafIndexNumber
+{
+    while (!table.unlisted.empty()) {
+        const auto index = table.unlisted.front();
+        auto &leaf = leafAt(table, index);
+        if (leaf.unlistedAt) {
+            const auto isUsed = !leaf.links.empty() || !leaf.outstanding.empty();
+            if (isUsed || now - *leaf.unlistedAt < placeRetention)
+                break;
+            releaseAddress(table, index);
+            table.byId.erase(leaf.record.id);
+            leaf = LeafState();
+            table.unlisted.pop_front();
+            return index;
+        }
+        table.unlisted.pop_front();
+    }
+    table.leafs.emplace_back();
+    return LeafIndexNumber(table.leafs.size() - 1);
 }
 
 auto startAnew(LeafState &leaf) -> void
@@ -82,18 +123,16 @@
 auto putLeaf(LeafTable &table, const LeafRecord &record, TimePoint now) -> void
 {
     const auto found = table.byId.find(record.id);
-    auto index = LeafIndexNumber(table.leafs.size());
-    if (found == table.byId.end()) {
-        table.leafs.emplace_back();
+    const auto index = found == table.byId.end() ? takePlace(table, now) : found->second;
+    if (found == table.byId.end())
         table.byId.emplace(record.id, index);
-    } else {
-        index = found->second;
-    }
     auto &leaf = leafAt(table, index);
     if (record.revision < leaf.record.revision)
         return;
     if (leaf.listed && leaf.record.service != record.service)
-        unlist(table, index);
+        unlist(table, index, now);
+    if (leaf.record.address != record.address)
+        releaseAddress(table, index);
     const auto restarted
             = leaf.record.startedAt != record.startedAt || leaf.record.address != record.address;
     if (restarted || leaf.record.revision != record.revision)
@@ -103,21 +142,22 @@
     leaf.record = record;
     leaf.idHash = hashName(record.id);
     leaf.removeAt.reset();
+    leaf.unlistedAt.reset();
     if (record.coldLeft > Duration())
         leaf.coldUntil = now + record.coldLeft;
-    markReplaced(table, leaf);
+    takeAddress(table, index);
     if (!std::exchange(leaf.listed, true))
         table.byService[record.service].push_back(index);
 }
 
-auto removeLeaf(LeafTable &table, std::string_view id, TimePoint effectiveAt) -> void
+auto removeLeaf(LeafTable &table, std::string_view id, TimePoint effectiveAt, TimePoint now) -> void
 {
     const auto found = table.byId.find(std::string(id));
     if (found == table.byId.end() || !leafAt(table, found->second).listed)
         return;
     auto &leaf = leafAt(table, found->second);
     if (leaf.record.draining)
-        return unlist(table, found->second);
+        return unlist(table, found->second, now);
     if (!leaf.removeAt)
         leaf.removeAt = effectiveAt;
     table.nextRemoval = std::min(table.nextRemoval.value_or(effectiveAt), *leaf.removeAt);
@@ -133,7 +173,7 @@
         if (!leaf.removeAt)
             continue;
         if (*leaf.removeAt <= now)
-            unlist(table, LeafIndexNumber(number));
+            unlist(table, LeafIndexNumber(number), now);
         else
             table.nextRemoval
                     = std::min(table.nextRemoval.value_or(*leaf.removeAt), *leaf.removeAt);
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -19,7 +19,8 @@
 
 namespace crocusreach::forward {
 
-// Index of a leaf in its table. An index stays with one registered id while sends refer to it.
+// Index of a leaf in its table. An index stays with one registered id while sends or connections
+// refer to it, and for some minutes more.
 enum class LeafIndexNumber : std::uint32_t {};
 
 // A connection to a leaf; unique in the life of the process.
@@ -69,6 +70,7 @@
     LeafRecord record;
     bool listed = false; // the registry holds the entry, or its removal isn't in force yet
     std::optional<TimePoint> removeAt; // a removal that takes effect at this time
+    std::optional<TimePoint> unlistedAt; // while it isn't listed, if it was
     bool misdirected = false; // another leaf answered at the address
     bool preferred = true; // this instance keeps connections to it
     double linkShare = 1; // connections to it that this instance may keep, if below one
@@ -95,6 +97,8 @@
     std::deque<LeafState> leafs;
     std::unordered_map<std::string, LeafIndexNumber> byId;
     std::unordered_map<std::string, std::vector<LeafIndexNumber>> byService; // listed leafs only
+    std::unordered_map<std::string, LeafIndexNumber> byAddress; // with the newest entry of each
+    std::deque<LeafIndexNumber> unlisted; // the first one longest ago; some are listed again
     std::set<std::string, std::less<>> evacuated; // failure domains that get nothing
     std::optional<TimePoint> nextRemoval; // earliest removeAt
 };
@@ -107,7 +111,8 @@
 // An entry has left the registry. Entries also lapse while the registry is away, so that the
 // removal takes effect only at the time given, unless the entry is back by then. A leaf that was
 // draining is removed at once.
-auto removeLeaf(LeafTable &table, std::string_view id, TimePoint effectiveAt) -> void;
+auto removeLeaf(LeafTable &table, std::string_view id, TimePoint effectiveAt, TimePoint now)
+        -> void;
 
 // Carries out the removals that are due.
 auto applyRemovals(LeafTable &table, TimePoint now) -> void;
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -1,6 +1,7 @@
 #include "storereader.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace crocusreach::forward {
@@ -223,29 +224,49 @@
                 StoreNotice::Regained, static_cast<Channel>(number), {}, sourceAddress(reader)});
 }
 
-// News of one reply, sorted by what they mean to the forwarder.
+// What one reply has changed. It may hold several changes of one object, of which the last counts.
 struct News
 {
-    LeafsRegistered leafs;
-    std::vector<std::string> removed;
+    std::set<std::string, std::less<>> names; // of objects that have changed
     std::vector<RouteTablePtr> tables;
-    bool any = false;
 };
 
 auto addNews(const StoredObject &object, News &news, std::vector<StoreReaderAction> &actions)
         -> void
 {
-    news.any = true;
-    if (object.deleted) {
-        news.removed.push_back(object.name);
-    } else if (const auto *unusable = std::get_if<UnusableObject>(&object.content)) {
+    news.names.insert(object.name);
+    if (object.deleted)
+        return;
+    if (const auto *unusable = std::get_if<UnusableObject>(&object.content))
         actions.emplace_back(ObjectRejected{object.name, unusable->error});
-        news.removed.push_back(object.name);
-    } else if (const auto *leaf = std::get_if<LeafRecord>(&object.content)) {
-        news.leafs.leafs.push_back(*leaf);
-    } else if (const auto *table = std::get_if<RouteTablePtr>(&object.content)) {
+    else if (const auto *table = std::get_if<RouteTablePtr>(&object.content))
         news.tables.push_back(*table);
+}
+
+// The leaf of an entry; null if the entry is gone or can't be used.
+auto leafOf(const KindCache &cache, std::string_view name) -> const LeafRecord *
+{
+    const auto found = cache.objects.find(name);
+    if (found == cache.objects.end() || found->second.object.deleted)
+        return nullptr;
+    return std::get_if<LeafRecord>(&found->second.object.content);
+}
+
+auto publishLeafs(const KindCache &cache, const News &news, bool registryWasAway,
+                  std::vector<StoreReaderAction> &actions) -> void
+{
+    auto registered = LeafsRegistered();
+    auto removed = LeafsRemoved{{}, registryWasAway};
+    for (const auto &name : news.names) {
+        if (const auto *const leaf = leafOf(cache, name))
+            registered.leafs.push_back(*leaf);
+        else
+            removed.ids.push_back(name);
     }
+    if (!registered.leafs.empty())
+        actions.emplace_back(ForwardEvent(std::move(registered)));
+    if (!removed.ids.empty())
+        actions.emplace_back(ForwardEvent(std::move(removed)));
 }
 
 auto evacuatedDomains(const KindCache &cache) -> DomainsEvacuated
@@ -259,7 +280,7 @@
 auto publish(StoreReader &reader, ObjectKind kind, News &&news, TimePoint now,
              std::vector<StoreReaderAction> &actions) -> void
 {
-    if (!news.any)
+    if (news.names.empty())
         return;
     const auto &cache = kindCache(reader, static_cast<std::size_t>(kind));
     if (kind == ObjectKind::Evacuations)
@@ -269,11 +290,9 @@
                 static_cast<std::uint32_t>(cache.objects.size() - cache.deletedObjects)}));
     for (auto &table : news.tables)
         actions.emplace_back(ForwardEvent(RoutesChanged{std::move(table)}));
-    if (!news.leafs.leafs.empty())
-        actions.emplace_back(ForwardEvent(std::move(news.leafs)));
     const auto wasAway = reader.failedAt && now - *reader.failedAt < lapseSuspicion;
-    if (kind == ObjectKind::Leafs && !news.removed.empty())
-        actions.emplace_back(ForwardEvent(LeafsRemoved{std::move(news.removed), wasAway}));
+    if (kind == ObjectKind::Leafs)
+        publishLeafs(cache, news, wasAway, actions);
 }
 
 auto noteRead(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions) -> void
@@ -301,10 +320,8 @@
     }
     channel.continueAfter = listed.continueAfter;
     if (channel.continueAfter.empty()) {
-        for (const auto &name : finishList(cache, channel.listRevision)) {
-            news.any = true;
-            news.removed.push_back(name);
-        }
+        for (auto &name : finishList(cache, channel.listRevision))
+            news.names.insert(std::move(name));
         channel.listed = true;
     }
     publish(reader, static_cast<ObjectKind>(number), std::move(news), now, actions);
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -160,6 +160,68 @@
             CHECK(isUsable(table, leafAt(table, table.byId.at("i-2"))));
         }
     }
+    WHEN("an older entry of another leaf with its address is read after its own")
+    {
+        // Lists come in the order of names, so that the older entry may be the later one.
+        auto other = record;
+        other.id = "i-2";
+        other.revision = 4;
+        putLeaf(table, other, now);
+        THEN("the other one is gone")
+        {
+            CHECK(isUsable(table, leaf));
+            CHECK_FALSE(isUsable(table, leafAt(table, table.byId.at("i-2"))));
+        }
+    }
+    WHEN("it leaves, and others come and go for hours")
+    {
+        // Guards against memory that grows with every leaf that was ever registered.
+        removeLeaf(table, "i-1", now, now);
+        applyRemovals(table, now);
+        for (auto number = 0; number < 500; ++number) {
+            now += 1min;
+            auto other = record;
+            other.id = "other-" + std::to_string(number);
+            other.address = "10.0.1.1:" + std::to_string(number);
+            other.revision = 10 + static_cast<std::uint64_t>(number);
+            putLeaf(table, other, now);
+            removeLeaf(table, other.id, now, now);
+            applyRemovals(table, now);
+        }
+        THEN("the table holds those of the last minutes only")
+        {
+            CHECK(table.leafs.size() < 20);
+            CHECK(table.byId.size() < 20);
+            CHECK(table.byAddress.size() < 20);
+            CHECK(table.unlisted.size() < 20);
+            CHECK(table.byService.empty());
+        }
+        AND_WHEN("it comes back")
+        {
+            record.revision = 1000;
+            putLeaf(table, record, now);
+            THEN("it is used")
+            {
+                CHECK(isUsable(table, leafAt(table, table.byId.at("i-1"))));
+            }
+        }
+    }
+    WHEN("it leaves while a request is still at it")
+    {
+        leaf.outstanding.push_back({SendId(7), now, now + 1s});
+        removeLeaf(table, "i-1", now, now);
+        applyRemovals(table, now);
+        now += 1h;
+        auto other = record;
+        other.id = "i-2";
+        other.address = "10.0.0.2:80";
+        putLeaf(table, other, now);
+        THEN("its place isn't given to another leaf, since the request's answer is still due")
+        {
+            CHECK(table.byId.at("i-1") != table.byId.at("i-2"));
+            CHECK(leaf.outstanding.size() == 1);
+        }
+    }
     WHEN("it moves to another service")
     {
         auto moved = record;
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -155,6 +155,34 @@
                 CHECK(watchOf(bench.callOn(Channel::Leafs)).revision == 13);
             }
         }
+        AND_WHEN("one reply brings the end of a leaf's entry and its return")
+        {
+            // Guards against living leafs that are dropped: entries lapse while the store is away,
+            // and a watch that reaches the store late gets both changes at once.
+            bench.actions.clear();
+            bench.give(Channel::Leafs, ObjectsChanged{{ReaderBench::leaf("i-1", 12, true),
+                                                       ReaderBench::leaf("i-1", 13)},
+                                                      13});
+            THEN("the leaf is there, and no removal follows")
+            {
+                REQUIRE(bench.event<LeafsRegistered>());
+                CHECK(bench.event<LeafsRegistered>().value().leafs.at(0).revision == 13);
+                CHECK_FALSE(bench.event<LeafsRemoved>());
+            }
+        }
+        AND_WHEN("one reply brings a leaf's entry and its end")
+        {
+            bench.actions.clear();
+            bench.give(Channel::Leafs, ObjectsChanged{{ReaderBench::leaf("i-2", 12),
+                                                       ReaderBench::leaf("i-2", 13, true)},
+                                                      13});
+            THEN("the leaf is gone, and was never announced")
+            {
+                CHECK_FALSE(bench.event<LeafsRegistered>());
+                REQUIRE(bench.event<LeafsRemoved>());
+                CHECK(bench.event<LeafsRemoved>().value().ids == std::vector<std::string>{"i-2"});
+            }
+        }
         AND_WHEN("the history is gone")
         {
             bench.actions.clear();
