Send callers elsewhere while a front reaches its own failure domain only

They stayed ready, since one domain still answers, so that the balancer went on giving them callers whom the other zones would have served. Requests that try a silent route (one each 150 ms and route) took a quarter of the requests and failed at the end of their time.

Ruled out: unready as soon as any route is silent, which would take all fronts out when a service is down everywhere; unready whenever other domains are silent, which would take out both sides of a cut between two domains.

Change: unready while at least two other domains are silent, none but the own one answers, and most requests of the last half second were refused for it. Answers of an unready front end their connection, since the balancer leaves open ones where they are. A silent route is tried each 400 ms.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -17,7 +17,10 @@
 constexpr Duration answerMargin = std::chrono::milliseconds(12);
 // An answer to a caller whose time is nearly over is sent this much earlier.
 constexpr Duration endMargin = std::chrono::milliseconds(15);
-constexpr Duration routeTrialInterval = std::chrono::milliseconds(150);
+// A trial is a caller's request that most likely fails, where a refusal could be served elsewhere.
+constexpr Duration routeTrialInterval = std::chrono::milliseconds(400);
+// The balancer asks each second whether this instance is ready, and needs two answers.
+constexpr Duration refusalWindow = std::chrono::milliseconds(500);
 constexpr Duration reachabilityInterval = std::chrono::milliseconds(20);
 // Calls in progress take memory; beyond this number new ones are turned away.
 constexpr std::size_t mostCalls = 2000;
@@ -87,6 +90,19 @@
     return true;
 }
 
+auto updateRefusals(Forwarder &forwarder, TimePoint now) -> void
+{
+    auto &window = forwarder.refusals;
+    if (now - window.startedAt < refusalWindow)
+        return;
+    const auto &counters = forwarder.counters;
+    const auto refused = counters.ends.at(static_cast<std::size_t>(CallEnd::SilentLeafs))
+                         + counters.ends.at(static_cast<std::size_t>(CallEnd::CutOff));
+    const auto requests = counters.requests - window.requests;
+    const auto mostRefused = requests > 0 && 2 * (refused - window.refused) >= requests;
+    window = {now, counters.requests, refused, mostRefused};
+}
+
 } // namespace
 
 auto refuse(Forwarder &forwarder, const RequestArrived &event, const Route *route, OwnStatus status,
@@ -118,6 +134,7 @@
                                static_cast<std::size_t>(send.leaf)});
     }
     updateReachability(forwarder.reachability, overdue, now);
+    updateRefusals(forwarder, now);
 }
 
 auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -376,7 +376,8 @@
 
 auto reachesLeafs(const Forwarder &forwarder, TimePoint now) -> bool
 {
-    return !isCutOff(forwarder.reachability, now);
+    const auto isolated = isIsolated(forwarder.reachability, forwarder.settings.domain, now);
+    return !isCutOff(forwarder.reachability, now) && !(isolated && forwarder.refusals.mostRefused);
 }
 
 auto canServe(const Forwarder &forwarder) -> bool
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -59,6 +59,15 @@
     TimePoint heldUntil = {};
 };
 
+// Whether most requests of the last whole window were refused since too few leafs answer.
+struct RefusalWindow
+{
+    TimePoint startedAt = {};
+    std::uint64_t requests = 0; // counts at its start
+    std::uint64_t refused = 0;
+    bool mostRefused = false;
+};
+
 struct Forwarder
 {
     ForwarderSettings settings;
@@ -68,6 +77,7 @@
     InstanceShare share;
     Reachability reachability;
     TimePoint nextReachabilityCheck = {};
+    RefusalWindow refusals;
     bool instancesKnown = false;
     bool refusesNew = false;
     bool stateRead = false;
@@ -95,7 +105,8 @@
 // The time at which a ForwarderTick is due.
 auto nextWake(const Forwarder &forwarder) -> std::optional<TimePoint>;
 
-// False while no leaf can be reached, so that callers are better off elsewhere.
+// False while no leaf can be reached, or while those of the own failure domain alone don't suffice
+// for most requests: callers are better off in another domain.
 auto reachesLeafs(const Forwarder &forwarder, TimePoint now) -> bool;
 
 // True once a desired state and at least one leaf are known.
--- a/core/reachability.cpp
+++ b/core/reachability.cpp
@@ -62,6 +62,16 @@
                           [now](const auto &item) { return now < item.second.suspectUntil; });
 }
 
+auto isIsolated(const Reachability &reachability, std::string_view ownDomain, TimePoint now) -> bool
+{
+    constexpr std::size_t leastDomains = 3;
+    return reachability.domains.size() >= leastDomains
+           && std::all_of(reachability.domains.begin(), reachability.domains.end(),
+                          [&](const auto &item) {
+                              return item.first == ownDomain || now < item.second.suspectUntil;
+                          });
+}
+
 auto takeTrial(Reachability &reachability, TimePoint now) -> bool
 {
     if (now < reachability.nextTrial)
--- a/core/reachability.h
+++ b/core/reachability.h
@@ -46,6 +46,11 @@
 // True if no domain can be reached: what is wrong is this instance's own way out.
 auto isCutOff(const Reachability &reachability, TimePoint now) -> bool;
 
+// True if it reaches no domain but its own, of three or more. If a single other domain is silent,
+// it is as likely that one that is lost.
+auto isIsolated(const Reachability &reachability, std::string_view ownDomain, TimePoint now)
+        -> bool;
+
 // While cut off, one request at a time is let through now and then to find out whether the way is
 // open again. Returns whether this is one.
 auto takeTrial(Reachability &reachability, TimePoint now) -> bool;
--- a/front/callertask.h
+++ b/front/callertask.h
@@ -25,7 +25,7 @@
     auto post(forward::AnswerCaller &&answer) -> void;
     // What the operators allow a caller to send.
     auto post(const forward::RequestLimits &limits) -> void;
-    auto announceClose() -> void { this->listener.announceClose(); }
+    auto setClosing(bool value) -> void { this->listener.setClosing(value); }
     auto closeIdle() -> void { this->listener.closeIdle(); }
     auto openRequests() const -> std::size_t { return this->listener.openRequests(); }
 
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -151,8 +151,11 @@
     const auto known = hasRead(this->store.state()) && canServe(this->forwarder.state());
     const auto isReadyNow
             = isReady(this->lifecycle, known, reachesLeafs(this->forwarder.state(), decisionNow()));
-    if (isReadyNow != std::exchange(this->reportedReady, isReadyNow))
+    if (isReadyNow != std::exchange(this->reportedReady, isReadyNow)) {
         logEvent(LogEvent::ReadinessChanged, {{"ready", isReadyNow ? "yes" : "no"}});
+        // The balancer leaves open connections where they are.
+        this->callers.setClosing(!isReadyNow);
+    }
     return isReadyNow;
 }
 
@@ -174,7 +177,7 @@
 {
     logEvent(LogEvent::StopRequested);
     requestStop(this->lifecycle, decisionNow());
-    this->callers.announceClose();
+    this->callers.setClosing(true);
     this->onStopped = std::move(stopped);
     this->nextStopCheck = nextWake(this->lifecycle, decisionNow());
 }
--- a/front/httplistener.h
+++ b/front/httplistener.h
@@ -47,8 +47,9 @@
     // Returns the address that the listener really has.
     auto open(std::string_view address) -> Result<std::string>;
     auto setLimits(const HttpListenerLimits &newLimits) -> void;
-    // From now on, answers announce the end of their connection.
-    auto announceClose() -> void { this->closing = true; }
+    // Whether answers announce the end of their connection, so that callers move to another
+    // instance.
+    auto setClosing(bool value) -> void { this->closing = value; }
     auto closeIdle() -> void;
 
     // Ignored if the caller has left meanwhile.
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -482,6 +482,63 @@
     }
 }
 
+SCENARIO("an instance that reaches its own failure domain only")
+{
+    auto bench = Bench();
+    bench.setRoute(gatherRoute(6, 0.8));
+    for (auto shard = 0; shard < 6; ++shard) {
+        const auto name = std::to_string(shard);
+        bench.addLeaf("shard-" + name, "b" + name, "muar-b");
+        bench.addLeaf("shard-" + name, "c" + name, "muar-c");
+    }
+    const auto reachesOwnOnly = [&bench] {
+        for (auto number = 0; number < 80; ++number) {
+            bench.arrive();
+            for (const auto &send : bench.takeSends()) {
+                if (send.leafId.starts_with('a'))
+                    bench.answer(send);
+            }
+            bench.pass(25ms);
+            bench.takeSends();
+        }
+    };
+    WHEN("too few shards have a leaf there")
+    {
+        for (auto shard = 0; shard < 3; ++shard)
+            bench.addLeaf("shard-" + std::to_string(shard), "a" + std::to_string(shard));
+        reachesOwnOnly();
+        THEN("it says that callers are better off elsewhere")
+        {
+            // Guards against a zone whose callers are refused though other zones would serve them.
+            CHECK_FALSE(reachesLeafs(bench.forwarder, bench.now));
+        }
+        AND_WHEN("the way is open again")
+        {
+            bench.pass(1s);
+            for (auto number = 0; number < 40; ++number) {
+                bench.arrive();
+                for (const auto &send : bench.takeSends())
+                    bench.answer(send);
+                bench.pass(25ms);
+            }
+            THEN("it takes callers again")
+            {
+                CHECK(reachesLeafs(bench.forwarder, bench.now));
+            }
+        }
+    }
+    WHEN("enough shards have a leaf there")
+    {
+        for (auto shard = 0; shard < 5; ++shard)
+            bench.addLeaf("shard-" + std::to_string(shard), "a" + std::to_string(shard));
+        reachesOwnOnly();
+        THEN("it goes on serving")
+        {
+            CHECK(reachesLeafs(bench.forwarder, bench.now));
+        }
+    }
+}
+
 SCENARIO("a route most of whose leafs are silent")
 {
     auto bench = Bench();
--- a/tests/front_listener.cpp
+++ b/tests/front_listener.cpp
@@ -119,7 +119,7 @@
     {
         client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
         REQUIRE(client.receive());
-        bench.thread.run([&] { bench.listener->announceClose(); });
+        bench.thread.run([&] { bench.listener->setClosing(true); });
         THEN("an open connection is served once more, and told to end")
         {
             client.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
