Run the store reader against a random store

The reader had no randomised test, which let the order of removals and registrations within one reply go unnoticed.

--- /dev/null
+++ b/tests/core_storereader_random.cpp
@@ -0,0 +1,355 @@
+#include <catch2/catch.hpp>
+
+#include "core/storereader.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace crocusreach;
+using namespace crocusreach::forward;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t pageSize = 4;
+// Longer than each pause, patience and watch of the reader.
+constexpr Duration settleTime = 60s;
+
+struct Change
+{
+    ObjectKind kind = ObjectKind::Routes;
+    StoredObject object; // its revision is that of the change, also if deleted
+};
+
+// The platform's store, with all changes that it ever took.
+struct ModelStore
+{
+    auto put(ObjectKind kind, const std::string &name) -> void
+    {
+        auto object = StoredObject();
+        object.name = name;
+        object.revision = ++this->revision;
+        object.content = this->makeContent(kind, name);
+        this->changes.push_back({kind, std::move(object)});
+    }
+
+    auto erase(ObjectKind kind, const std::string &name) -> void
+    {
+        auto object = StoredObject();
+        object.name = name;
+        object.revision = ++this->revision;
+        object.deleted = true;
+        this->changes.push_back({kind, std::move(object)});
+    }
+
+    auto makeContent(ObjectKind kind, const std::string &name) const -> ObjectContent
+    {
+        if (kind == ObjectKind::Routes) {
+            auto table = std::make_shared<RouteTable>();
+            table->version = this->revision;
+            return RouteTablePtr(std::move(table));
+        }
+        if (kind == ObjectKind::Evacuations)
+            return EvacuatedDomain{name};
+        if (kind == ObjectKind::Instances)
+            return RegisteredInstance{name};
+        auto record = LeafRecord();
+        record.id = name;
+        record.service = "ledger";
+        record.revision = this->revision;
+        return record;
+    }
+
+    // What is there as of a revision, by name.
+    auto stateAt(ObjectKind kind, std::uint64_t upTo) const -> std::map<std::string, StoredObject>
+    {
+        auto state = std::map<std::string, StoredObject>();
+        for (const auto &change : this->changes) {
+            if (change.kind != kind || change.object.revision > upTo)
+                continue;
+            if (change.object.deleted)
+                state.erase(change.object.name);
+            else
+                state[change.object.name] = change.object;
+        }
+        return state;
+    }
+
+    auto list(const ListObjects &request, std::uint64_t upTo) const -> ObjectsListed
+    {
+        auto reply = ObjectsListed{{}, {}, upTo};
+        for (const auto &[name, object] : this->stateAt(request.kind, upTo)) {
+            if (name <= request.after && !request.after.empty())
+                continue;
+            if (reply.objects.size() == pageSize) {
+                reply.continueAfter = reply.objects.back().name;
+                break;
+            }
+            reply.objects.push_back(object);
+        }
+        return reply;
+    }
+
+    // Every change, as the store tells them.
+    auto watch(const WatchObjects &request, std::uint64_t upTo) const -> StoreReplyContent
+    {
+        if (request.revision < this->historyFrom)
+            return HistoryGone();
+        auto reply = ObjectsChanged{{}, upTo};
+        for (const auto &change : this->changes) {
+            if (change.kind == request.kind && change.object.revision > request.revision
+                && change.object.revision <= upTo)
+                reply.objects.push_back(change.object);
+        }
+        return reply;
+    }
+
+    std::vector<Change> changes;
+    std::uint64_t revision = 0;
+    std::uint64_t historyFrom = 0; // older changes aren't told to watches
+};
+
+struct Running
+{
+    StoreCall call;
+    TimePoint startedAt = {};
+};
+
+// A reader with its store, and what a forwarder would know by the reader's events.
+struct ReaderWorld
+{
+    ReaderWorld(std::uint32_t seed, std::size_t instances)
+        : random(seed)
+    {
+        for (std::size_t number = 0; number < instances; ++number)
+            this->store.put(ObjectKind::Instances, "front-" + std::to_string(number));
+        this->store.put(ObjectKind::Routes, "main");
+        startReading(this->reader, {"front-0", {"seed-1", "seed-2"}, false}, this->now,
+                     this->actions);
+        this->takeActions();
+    }
+
+    auto pick(std::size_t count) -> std::size_t
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+    }
+
+    auto changeStore() -> void
+    {
+        const auto kind = std::array{ObjectKind::Routes, ObjectKind::Evacuations, ObjectKind::Leafs,
+                                     ObjectKind::Leafs, ObjectKind::Leafs}
+                                  .at(this->pick(5));
+        const auto name = kind == ObjectKind::Routes ? std::string("main")
+                                                     : "name-" + std::to_string(this->pick(9));
+        const auto isThere = this->store.stateAt(kind, this->store.revision).contains(name);
+        if (isThere && kind != ObjectKind::Routes && this->pick(2) == 0)
+            this->store.erase(kind, name);
+        else
+            this->store.put(kind, name);
+    }
+
+    // Ends a call well, or as failed.
+    auto answer(std::size_t index, bool well) -> void
+    {
+        const auto call = this->running.at(index).call;
+        this->running.erase(this->running.begin() + static_cast<std::ptrdiff_t>(index));
+        auto reply = StoreReply{call.channel, CallFailed(), {}};
+        if (well) {
+            auto upTo = this->store.revision;
+            if (!call.address.empty()) {
+                // Other instances lag behind the store, and never go back.
+                auto &known = this->seedRevisions[call.address];
+                known = std::max(known,
+                                 this->behind ? upTo - std::min<std::uint64_t>(upTo, this->pick(6))
+                                              : upTo);
+                upTo = known;
+                reply.storeAge = this->behind ? Duration(1ms * this->pick(2500)) : 10ms;
+            }
+            reply.content = this->replyTo(call.request, upTo);
+        }
+        handle(this->reader, reply, this->now, this->actions);
+        this->takeActions();
+    }
+
+    auto replyTo(const StoreRequest &request, std::uint64_t upTo) const -> StoreReplyContent
+    {
+        if (const auto *const list = std::get_if<ListObjects>(&request))
+            return this->store.list(*list, upTo);
+        if (const auto *const watch = std::get_if<WatchObjects>(&request))
+            return this->store.watch(*watch, upTo);
+        return CallDone();
+    }
+
+    // A watch with nothing to tell goes on waiting.
+    auto isWaiting(const Running &item) const -> bool
+    {
+        const auto *const watch = std::get_if<WatchObjects>(&item.call.request);
+        if (watch == nullptr || this->now - item.startedAt >= watch->wait)
+            return false;
+        const auto reply = this->store.watch(*watch, this->store.revision);
+        const auto *const changed = std::get_if<ObjectsChanged>(&reply);
+        return changed != nullptr && changed->objects.empty();
+    }
+
+    auto pass(Duration time) -> void
+    {
+        const auto end = this->now + time;
+        while (true) {
+            auto next = end;
+            if (const auto wake = nextWake(this->reader))
+                next = std::min(next, std::max(this->now, *wake));
+            for (const auto &item : this->running)
+                next = std::min(next, std::max(this->now, item.startedAt + item.call.patience));
+            this->now = next;
+            const auto expired
+                    = std::find_if(this->running.begin(), this->running.end(), [&](auto &item) {
+                          return item.startedAt + item.call.patience <= this->now;
+                      });
+            if (expired != this->running.end()) {
+                this->answer(static_cast<std::size_t>(expired - this->running.begin()), false);
+                continue;
+            }
+            handle(this->reader, StoreReaderTick(), this->now, this->actions);
+            this->takeActions();
+            if (next >= end)
+                return;
+        }
+    }
+
+    auto takeActions() -> void
+    {
+        for (const auto &action : this->actions) {
+            if (const auto *const call = std::get_if<StoreCall>(&action))
+                this->running.push_back({*call, this->now});
+            if (std::holds_alternative<AbandonObjectCalls>(action))
+                std::erase_if(this->running, [](const Running &item) {
+                    return static_cast<std::size_t>(item.call.channel) < objectKinds;
+                });
+            if (const auto *const event = std::get_if<ForwardEvent>(&action))
+                this->takeEvent(*event);
+        }
+        this->actions.clear();
+        auto channels = std::set<Channel>();
+        for (const auto &item : this->running)
+            this->doubleCalls += channels.insert(item.call.channel).second ? 0 : 1;
+    }
+
+    auto takeEvent(const ForwardEvent &event) -> void
+    {
+        if (const auto *const registered = std::get_if<LeafsRegistered>(&event)) {
+            for (const auto &leaf : registered->leafs)
+                this->leafs[leaf.id] = std::max(this->leafs[leaf.id], leaf.revision);
+        }
+        if (const auto *const removed = std::get_if<LeafsRemoved>(&event)) {
+            for (const auto &id : removed->ids)
+                this->leafs.erase(id);
+        }
+        if (const auto *const routes = std::get_if<RoutesChanged>(&event))
+            this->version = std::max(this->version, routes->table->version);
+        if (const auto *const evacuated = std::get_if<DomainsEvacuated>(&event))
+            this->evacuated = evacuated->domains;
+    }
+
+    // Faults end, and all calls are answered.
+    auto settle() -> void
+    {
+        this->behind = false;
+        const auto end = this->now + settleTime;
+        while (this->now < end) {
+            for (std::size_t index = 0; index < this->running.size();) {
+                if (this->isWaiting(this->running[index])) {
+                    ++index;
+                    continue;
+                }
+                this->answer(index, true);
+                index = 0;
+            }
+            this->pass(50ms);
+        }
+    }
+
+    std::mt19937 random;
+    ModelStore store;
+    StoreReader reader;
+    TimePoint now = TimePoint(1h);
+    std::vector<StoreReaderAction> actions;
+    std::vector<Running> running;
+    std::map<std::string, std::uint64_t> seedRevisions;
+    bool behind = true;
+    std::size_t doubleCalls = 0; // calls of a channel while one of it runs
+    std::map<std::string, std::uint64_t> leafs; // revisions by id
+    std::uint64_t version = 0;
+    std::set<std::string, std::less<>> evacuated;
+};
+
+auto runSteps(ReaderWorld &world, std::size_t steps) -> void
+{
+    for (std::size_t step = 0; step < steps; ++step) {
+        switch (world.pick(8)) {
+        case 0:
+        case 1:
+            world.changeStore();
+            break;
+        case 2:
+        case 3:
+            world.pass(Duration(1ms * world.pick(400)));
+            break;
+        case 4:
+            if (world.pick(20) == 0)
+                world.store.historyFrom = world.store.revision;
+            break;
+        default:
+            if (!world.running.empty())
+                world.answer(world.pick(world.running.size()), world.pick(4) != 0);
+            break;
+        }
+    }
+}
+
+auto check(const ReaderWorld &world) -> void
+{
+    const auto &store = world.store;
+    auto leafs = std::map<std::string, std::uint64_t>();
+    for (const auto &[name, object] : store.stateAt(ObjectKind::Leafs, store.revision))
+        leafs[name] = object.revision;
+    auto evacuated = std::set<std::string, std::less<>>();
+    for (const auto &[name, object] : store.stateAt(ObjectKind::Evacuations, store.revision))
+        evacuated.insert(name);
+    auto version = std::uint64_t(0);
+    for (const auto &[name, object] : store.stateAt(ObjectKind::Routes, store.revision))
+        version = std::get<RouteTablePtr>(object.content)->version;
+    CHECK(world.leafs == leafs);
+    CHECK(world.evacuated == evacuated);
+    CHECK(world.version == version);
+    CHECK(world.doubleCalls == 0);
+}
+
+auto seedsFromEnvironment() -> std::pair<std::uint32_t, std::uint32_t>
+{
+    const auto *const first = std::getenv("CROCUSREACH_SEED");
+    const auto *const count = std::getenv("CROCUSREACH_SEEDS");
+    return {first == nullptr ? 1 : static_cast<std::uint32_t>(std::atoi(first)),
+            count == nullptr ? 40 : static_cast<std::uint32_t>(std::atoi(count))};
+}
+
+} // namespace
+
+// Guards against events that leave a forwarder with another state than the store's, whatever the
+// order of changes, failures, gaps in the history and changes of the source.
+SCENARIO("after any troubles, what the forwarder was told is what the store holds")
+{
+    const auto [first, count] = seedsFromEnvironment();
+    for (auto seed = first; seed < first + count; ++seed) {
+        // Every other deployment is large enough for seeds.
+        auto world = ReaderWorld(seed, seed % 2 == 0 ? 5 : 20);
+        runSteps(world, 1500);
+        world.settle();
+        INFO("seed " << seed);
+        check(world);
+    }
+}
