Refuse what only suspected failure domains could serve, and stay isolated for 3 s

Cause: a front of a large deployment gets one or two requests a second. In a cut-off zone, each of them was sent to leafs in domains that the ones before had shown to be silent, and failed at the end of its time; the suspicion of a domain lapsed after 1 s, before the balancer had asked twice whether the front is ready.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -150,7 +150,7 @@
             overdue.push_back({leafAt(forwarder.leafs, send.leaf).record.domain,
                                static_cast<std::size_t>(send.leaf)});
     }
-    updateReachability(forwarder.reachability, overdue, now);
+    updateReachability(forwarder.reachability, overdue, forwarder.settings.domain, now);
     updateRefusals(forwarder, now);
 }
 
@@ -187,7 +187,7 @@
     if (!canReachShare(call, isServed))
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::NoLeaf, actions);
     const auto isAnswering = [&](std::string_view service) {
-        return hasAnsweringLeaf(forwarder.leafs, service, now);
+        return hasAnsweringLeaf(forwarder.leafs, service, forwarder.reachability, now);
     };
     if (!canReachShare(call, isAnswering) && !takeTrial(*call.stats, now))
         return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::SilentLeafs, actions);
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -217,10 +217,12 @@
     return anyLeaf(table, service, [&](const LeafState &leaf) { return isUsable(table, leaf); });
 }
 
-auto hasAnsweringLeaf(LeafTable &table, std::string_view service, TimePoint now) -> bool
+auto hasAnsweringLeaf(LeafTable &table, std::string_view service, const Reachability &reachability,
+                      TimePoint now) -> bool
 {
     return anyLeaf(table, service, [&](const LeafState &leaf) {
-        return isUsable(table, leaf) && !isSilent(leaf, now);
+        return isUsable(table, leaf) && !isSilent(leaf, now)
+               && !isSuspect(reachability, leaf.record.domain, now);
     });
 }
 
--- a/core/placement.h
+++ b/core/placement.h
@@ -62,7 +62,8 @@
 // True if a leaf of the service may be used now or later without a change of the registry.
 auto hasUsableLeaf(LeafTable &table, std::string_view service) -> bool;
 
-// True if one of them isn't silent.
-auto hasAnsweringLeaf(LeafTable &table, std::string_view service, TimePoint now) -> bool;
+// True if one of them isn't silent, in a domain that can be reached.
+auto hasAnsweringLeaf(LeafTable &table, std::string_view service, const Reachability &reachability,
+                      TimePoint now) -> bool;
 
 } // namespace crocusreach::forward
--- a/core/reachability.cpp
+++ b/core/reachability.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t leastLeafs = 2;
 constexpr std::size_t leastSends = 3;
 constexpr Duration suspicionTime = std::chrono::seconds(1);
+// The balancer gives an instance new connections until it was unready twice, a second apart.
+constexpr Duration isolationTime = std::chrono::seconds(3);
 constexpr Duration trialInterval = std::chrono::milliseconds(150);
 
 } // namespace
@@ -31,8 +33,9 @@
 }
 
 auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
-                        TimePoint now) -> void
+                        std::string_view ownDomain, TimePoint now) -> void
 {
+    auto confirmed = false;
     for (auto &[domain, state] : reachability.domains) {
         if (now - state.lastAnswerAt < silenceOfDomain)
             continue;
@@ -44,8 +47,16 @@
             ++sends;
             leafs.insert(send.leaf);
         }
-        if (sends >= leastSends && leafs.size() >= leastLeafs)
-            state.suspectUntil = now + suspicionTime;
+        if (sends < leastSends || leafs.size() < leastLeafs)
+            continue;
+        state.suspectUntil = std::max(state.suspectUntil, now + suspicionTime);
+        confirmed = true;
+    }
+    if (!confirmed || !isIsolated(reachability, ownDomain, now))
+        return;
+    for (auto &[domain, state] : reachability.domains) {
+        if (domain != ownDomain)
+            state.suspectUntil = now + isolationTime;
     }
 }
 
--- a/core/reachability.h
+++ b/core/reachability.h
@@ -37,9 +37,10 @@
 auto noteDomainAnswer(Reachability &reachability, std::string_view domain, TimePoint now) -> void;
 
 // Suspects the domains in which several leafs owe answers and none has answered for a while. The
-// suspicion lapses by itself, so that the way is tried again.
+// suspicion lapses by itself, so that the way is tried again; later if no domain but the own one is
+// left, since callers are then sent elsewhere.
 auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
-                        TimePoint now) -> void;
+                        std::string_view ownDomain, TimePoint now) -> void;
 
 auto isSuspect(const Reachability &reachability, std::string_view domain, TimePoint now) -> bool;
 
