Probe the way out while isolated, so that a long cut of a failure domain costs its callers little

Cause: in a cut of 14 s, the fronts inside turned ready again every other second. Once their callers had left, the few test requests were served and "most requests refused" was over; and the suspicion lapsed without requests that renew it. On the grown site, a front with less than two requests a second let nearly each one try the way, so that it never counted most of them as refused, and the balancer uses all fronts of a zone while any of them is ready.

Ruled out: longer suspicion alone (callers would come back each time it lapses, and a short cut would cost as much as a long one).

Change: an isolated front stays so until a connection that it opens to a leaf of another domain (one each 0.4 s, kept for requests) is open, or for 15 s without one, since the other domains may be lost. What counts is whether the leafs suffice for most requests, not whether they were refused; once unready, it stays so until the isolation ends. While isolated, no caller's request tries the way. core_forwarder and core_forwarder_parts replay it, front_links opens connections without a request.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -24,7 +24,7 @@
 constexpr Duration longestOpening = std::chrono::milliseconds(20);
 constexpr Duration timeLeftMemory = std::chrono::minutes(10);
 // The balancer asks each second whether this instance is ready, and needs two answers.
-constexpr Duration refusalWindow = std::chrono::milliseconds(500);
+constexpr Duration unservableWindow = std::chrono::milliseconds(500);
 constexpr Duration reachabilityInterval = std::chrono::milliseconds(20);
 // Calls in progress take memory; beyond this number new ones are turned away.
 constexpr std::size_t mostCalls = 2000;
@@ -107,17 +107,18 @@
     return true;
 }
 
-auto updateRefusals(Forwarder &forwarder, TimePoint now) -> void
+auto updateUnservable(Forwarder &forwarder, TimePoint now) -> void
 {
-    auto &window = forwarder.refusals;
-    if (now - window.startedAt < refusalWindow)
+    auto &window = forwarder.unservable;
+    if (now - window.startedAt < unservableWindow)
         return;
     const auto &counters = forwarder.counters;
-    const auto refused = counters.ends.at(static_cast<std::size_t>(CallEnd::SilentLeafs))
-                         + counters.ends.at(static_cast<std::size_t>(CallEnd::CutOff));
     const auto requests = counters.requests - window.requests;
-    const auto mostRefused = requests > 0 && 2 * (refused - window.refused) >= requests;
-    window = {now, counters.requests, refused, mostRefused};
+    const auto unservable = counters.unservable - window.unservable;
+    // Once callers are sent elsewhere, the few that are left say nothing of the others.
+    const auto isAway = window.mostUnservable && isIsolated(forwarder.reachability, now);
+    const auto mostUnservable = isAway || (requests > 0 && 2 * unservable >= requests);
+    window = {now, counters.requests, counters.unservable, mostUnservable};
 }
 
 } // namespace
@@ -150,8 +151,10 @@
             overdue.push_back({leafAt(forwarder.leafs, send.leaf).record.domain,
                                static_cast<std::size_t>(send.leaf)});
     }
-    updateReachability(forwarder.reachability, overdue, forwarder.settings.domain, now);
-    updateRefusals(forwarder, now);
+    updateReachability(forwarder.reachability, overdue, now);
+    updateUnservable(forwarder, now);
+    if (isIsolated(forwarder.reachability, now) && !forwarder.probe.nextAt)
+        forwarder.probe.nextAt = now;
 }
 
 auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
@@ -189,8 +192,13 @@
     const auto isAnswering = [&](std::string_view service) {
         return hasAnsweringLeaf(forwarder.leafs, service, forwarder.reachability, now);
     };
-    if (!canReachShare(call, isAnswering) && !takeTrial(*call.stats, now))
-        return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::SilentLeafs, actions);
+    if (!canReachShare(call, isAnswering)) {
+        ++forwarder.counters.unservable;
+        // While the instance is isolated, probes try the way instead of callers.
+        if (isIsolated(forwarder.reachability, now) || !takeTrial(*call.stats, now))
+            return refuse(forwarder, event, route, OwnStatus::NotRun, CallEnd::SilentLeafs,
+                          actions);
+    }
     forwarder.calls.emplace(call.id, std::move(owned));
     setAlarm(forwarder, call.endAt, false, static_cast<std::uint64_t>(call.id));
     if (!route->shards.empty())
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "forwardadmit.h"
 #include "forwardcalls.h"
 #include "forwardlinks.h"
+#include "forwardprobe.h"
 #include "forwardsend.h"
 
 #include <algorithm>
@@ -223,9 +224,17 @@
     advanceWaiting(forwarder, now, actions);
 }
 
+auto take(Forwarder &forwarder, const LinkOpened &event, TimePoint now,
+          std::vector<ForwardAction> &actions) -> void
+{
+    takeProbe(forwarder, event.link, now, actions);
+    advanceWaiting(forwarder, now, actions);
+}
+
 auto take(Forwarder &forwarder, const LinkClosed &event, TimePoint now,
           std::vector<ForwardAction> &actions) -> void
 {
+    dropProbe(forwarder, event.link);
     dropLink(forwarder, event.link);
     advanceWaiting(forwarder, now, actions);
 }
@@ -315,6 +324,7 @@
     refuseHeld(forwarder, now, actions);
     closeStaleLinks(forwarder, now, actions);
     checkReachability(forwarder, now);
+    probeWay(forwarder, now, actions);
     while (!forwarder.alarms.empty() && forwarder.alarms.top().at <= now) {
         const auto alarm = forwarder.alarms.top();
         forwarder.alarms.pop();
@@ -354,6 +364,8 @@
 auto nextWake(const Forwarder &forwarder) -> std::optional<TimePoint>
 {
     auto wake = forwarder.leafs.nextRemoval;
+    if (forwarder.probe.nextAt)
+        wake = std::min(wake.value_or(TimePoint::max()), *forwarder.probe.nextAt);
     if (forwarder.nextLinkCheck)
         wake = std::min(wake.value_or(TimePoint::max()), *forwarder.nextLinkCheck);
     for (const auto &item : forwarder.held)
@@ -368,6 +380,7 @@
     if (forwarder.random.value == RandomState().value)
         forwarder.random.value = settings.seed;
     forwarder.settings = settings;
+    forwarder.reachability.ownDomain = settings.domain;
     forwarder.share.instanceHash = settings.seed;
     forwarder.share.coldOvershoot = settings.coldOvershoot;
     if (!forwarder.instancesKnown)
@@ -376,8 +389,9 @@
 
 auto reachesLeafs(const Forwarder &forwarder, TimePoint now) -> bool
 {
-    const auto isolated = isIsolated(forwarder.reachability, forwarder.settings.domain, now);
-    return !isCutOff(forwarder.reachability, now) && !(isolated && forwarder.refusals.mostRefused);
+    const auto isolated = isIsolated(forwarder.reachability, now);
+    return !isCutOff(forwarder.reachability, now)
+           && !(isolated && forwarder.unservable.mostUnservable);
 }
 
 auto canServe(const Forwarder &forwarder) -> bool
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -37,6 +37,7 @@
     std::uint64_t lost = 0;
     std::uint64_t invalid = 0;
     std::uint64_t notSent = 0;
+    std::uint64_t unservable = 0; // calls too few of whose leafs answer
     std::uint64_t overdue = 0; // sends that got no answer in their time
     std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::Count)> ends = {};
 };
@@ -59,13 +60,21 @@
     TimePoint heldUntil = {};
 };
 
-// Whether most requests of the last whole window were refused since too few leafs answer.
-struct RefusalWindow
+// Whether too few leafs answered for most requests of the last whole window.
+struct UnservableWindow
 {
     TimePoint startedAt = {};
     std::uint64_t requests = 0; // counts at its start
-    std::uint64_t refused = 0;
-    bool mostRefused = false;
+    std::uint64_t unservable = 0;
+    bool mostUnservable = false;
+};
+
+// The search for a way to other failure domains while none of them answers.
+struct WayProbe
+{
+    std::optional<TimePoint> nextAt;
+    std::optional<LinkId> link; // connection that is being opened
+    LeafIndexNumber leaf = {};
 };
 
 struct Forwarder
@@ -77,7 +86,8 @@
     InstanceShare share;
     Reachability reachability;
     TimePoint nextReachabilityCheck = {};
-    RefusalWindow refusals;
+    UnservableWindow unservable;
+    WayProbe probe;
     bool instancesKnown = false;
     bool refusesNew = false;
     bool stateRead = false;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -107,7 +107,13 @@
     SendFailure failure = SendFailure::Lost;
 };
 
-// An idle connection was closed by the leaf.
+// A connection that was opened without a request is open.
+struct LinkOpened
+{
+    LinkId link = {};
+};
+
+// An idle connection was closed by the leaf, or could not be opened.
 struct LinkClosed
 {
     LinkId link = {};
@@ -160,10 +166,10 @@
 struct ForwarderTick
 { };
 
-using ForwardEvent = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, LinkClosed,
-                                  RoutesChanged, LeafsRegistered, LeafsRemoved, DomainsEvacuated,
-                                  InstancesCounted, SettingsChanged, NewRequestsRefused, StateRead,
-                                  StateUnavailable, ForwarderTick>;
+using ForwardEvent = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, LinkOpened,
+                                  LinkClosed, RoutesChanged, LeafsRegistered, LeafsRemoved,
+                                  DomainsEvacuated, InstancesCounted, SettingsChanged,
+                                  NewRequestsRefused, StateRead, StateUnavailable, ForwarderTick>;
 
 // Actions.
 
@@ -178,6 +184,13 @@
     Duration timeLeft = {};
 };
 
+// Opens a connection without a request.
+struct OpenLink
+{
+    LinkId link = {};
+    std::string address;
+};
+
 // Closes a connection whatever happens on it. Its send gets no further event.
 struct CloseLink
 {
@@ -306,7 +319,7 @@
     bool leafCold = false;
 };
 
-using ForwardAction
-        = std::variant<SendToLeaf, CloseLink, AnswerCaller, CallEnded, SendRepeated, FailedSend>;
+using ForwardAction = std::variant<SendToLeaf, OpenLink, CloseLink, AnswerCaller, CallEnded,
+                                   SendRepeated, FailedSend>;
 
 } // namespace crocusreach::forward
--- a/core/reachability.cpp
+++ b/core/reachability.cpp
@@ -12,10 +12,22 @@
 constexpr std::size_t leastLeafs = 2;
 constexpr std::size_t leastSends = 3;
 constexpr Duration suspicionTime = std::chrono::seconds(1);
-// The balancer gives an instance new connections until it was unready twice, a second apart.
-constexpr Duration isolationTime = std::chrono::seconds(3);
+// Without an answer to a probe, requests try again after this time: the other domains may be lost,
+// and what the own one can serve is worth serving.
+constexpr Duration isolationTime = std::chrono::seconds(15);
+constexpr std::size_t leastDomains = 3;
 constexpr Duration trialInterval = std::chrono::milliseconds(150);
 
+auto reachesOwnOnly(const Reachability &reachability, TimePoint now) -> bool
+{
+    return reachability.domains.size() >= leastDomains
+           && std::all_of(reachability.domains.begin(), reachability.domains.end(),
+                          [&](const auto &item) {
+                              return item.first == reachability.ownDomain
+                                     || now < item.second.suspectUntil;
+                          });
+}
+
 } // namespace
 
 auto noteDomainSend(Reachability &reachability, std::string_view domain, TimePoint now) -> void
@@ -27,13 +39,18 @@
 
 auto noteDomainAnswer(Reachability &reachability, std::string_view domain, TimePoint now) -> void
 {
+    if (domain != reachability.ownDomain && now < reachability.isolatedUntil) {
+        reachability.isolatedUntil = {};
+        for (auto &[name, state] : reachability.domains)
+            state.suspectUntil = {};
+    }
     const auto found = reachability.domains.find(domain);
     if (found != reachability.domains.end())
         found->second = {now, {}};
 }
 
 auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
-                        std::string_view ownDomain, TimePoint now) -> void
+                        TimePoint now) -> void
 {
     auto confirmed = false;
     for (auto &[domain, state] : reachability.domains) {
@@ -52,11 +69,12 @@
         state.suspectUntil = std::max(state.suspectUntil, now + suspicionTime);
         confirmed = true;
     }
-    if (!confirmed || !isIsolated(reachability, ownDomain, now))
+    if (!confirmed || !reachesOwnOnly(reachability, now))
         return;
+    reachability.isolatedUntil = now + isolationTime;
     for (auto &[domain, state] : reachability.domains) {
-        if (domain != ownDomain)
-            state.suspectUntil = now + isolationTime;
+        if (domain != reachability.ownDomain)
+            state.suspectUntil = reachability.isolatedUntil;
     }
 }
 
@@ -73,14 +91,9 @@
                           [now](const auto &item) { return now < item.second.suspectUntil; });
 }
 
-auto isIsolated(const Reachability &reachability, std::string_view ownDomain, TimePoint now) -> bool
+auto isIsolated(const Reachability &reachability, TimePoint now) -> bool
 {
-    constexpr std::size_t leastDomains = 3;
-    return reachability.domains.size() >= leastDomains
-           && std::all_of(reachability.domains.begin(), reachability.domains.end(),
-                          [&](const auto &item) {
-                              return item.first == ownDomain || now < item.second.suspectUntil;
-                          });
+    return now < reachability.isolatedUntil;
 }
 
 auto takeTrial(Reachability &reachability, TimePoint now) -> bool
--- a/core/reachability.h
+++ b/core/reachability.h
@@ -29,28 +29,33 @@
 
 struct Reachability
 {
+    std::string ownDomain; // of this instance
     std::map<std::string, DomainState, std::less<>> domains; // those that were sent to
+    TimePoint isolatedUntil = {};
     TimePoint nextTrial = {};
 };
 
 auto noteDomainSend(Reachability &reachability, std::string_view domain, TimePoint now) -> void;
+
+// A leaf of the domain has answered, or has accepted a connection. One in another domain ends the
+// isolation, and with it all suspicion.
 auto noteDomainAnswer(Reachability &reachability, std::string_view domain, TimePoint now) -> void;
 
 // Suspects the domains in which several leafs owe answers and none has answered for a while. The
-// suspicion lapses by itself, so that the way is tried again; later if no domain but the own one is
-// left, since callers are then sent elsewhere.
+// suspicion lapses by itself, so that the way is tried again. If it leaves no domain but the own
+// one, of three or more, this instance is isolated. If a single other domain is silent, it is as
+// likely that one that is lost.
 auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
-                        std::string_view ownDomain, TimePoint now) -> void;
+                        TimePoint now) -> void;
 
 auto isSuspect(const Reachability &reachability, std::string_view domain, TimePoint now) -> bool;
 
 // True if no domain can be reached: what is wrong is this instance's own way out.
 auto isCutOff(const Reachability &reachability, TimePoint now) -> bool;
 
-// True if it reaches no domain but its own, of three or more. If a single other domain is silent,
-// it is as likely that one that is lost.
-auto isIsolated(const Reachability &reachability, std::string_view ownDomain, TimePoint now)
-        -> bool;
+// True if no domain but the own one can be reached. Callers are then sent elsewhere, so that
+// nothing but probes shows the end of it.
+auto isIsolated(const Reachability &reachability, TimePoint now) -> bool;
 
 // While cut off, one request at a time is let through now and then to find out whether the way is
 // open again. Returns whether this is one.
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -108,6 +108,7 @@
 auto Front::perform(ForwardAction &&action) -> void
 {
     std::visit(Overloaded{[this](SendToLeaf &&send) { this->leafs.post(std::move(send)); },
+                          [this](OpenLink &&open) { this->leafs.post(std::move(open)); },
                           [this](CloseLink &&close) { this->leafs.post(close); },
                           [this](AnswerCaller &&answer) { this->callers.post(std::move(answer)); },
                           [this](CallEnded &&ended) {
--- a/front/httplinks.cpp
+++ b/front/httplinks.cpp
@@ -14,13 +14,13 @@
         this->reactor.forget(link->socket.get());
 }
 
-auto HttpLinks::open(const LinkSend &request) -> Link *
+auto HttpLinks::open(std::uint64_t id, std::string_view address) -> Link *
 {
-    auto socket = connectTcp(request.address, this->keepAlive);
+    auto socket = connectTcp(address, this->keepAlive);
     if (failed(socket))
         return nullptr;
     auto link = std::make_unique<Link>();
-    link->id = request.link;
+    link->id = id;
     link->socket = std::get<FileHandle>(std::move(socket));
     link->reader = std::make_unique<HttpReader>(HttpSide::Response, HttpReadLimits());
     this->reactor.watch(link->socket.get(), {true, true, false},
@@ -33,7 +33,7 @@
     const auto found = this->links.find(request.link);
     auto *link = found == this->links.end() ? nullptr : found->second.get();
     if (request.open)
-        link = this->open(request);
+        link = this->open(request.link, request.address);
     if (link == nullptr) {
         // The connection has ended while the request was on its way here.
         this->reactor.post(
@@ -51,6 +51,12 @@
         this->write(*link);
 }
 
+auto HttpLinks::openIdle(std::uint64_t link, std::string_view address) -> void
+{
+    if (this->open(link, address) == nullptr)
+        this->reactor.post([this, link] { this->events.closed(link); });
+}
+
 auto HttpLinks::close(std::uint64_t id) -> void
 {
     const auto found = this->links.find(id);
@@ -84,6 +90,10 @@
         if (!readiness.writable)
             return;
         link.connected = true;
+        if (!link.busy) {
+            this->reactor.change(link.socket.get(), {true, false, false});
+            return this->events.opened(id);
+        }
     }
     if (readiness.readable || readiness.broken) {
         this->read(link);
--- a/front/httplinks.h
+++ b/front/httplinks.h
@@ -44,6 +44,7 @@
     std::function<auto(std::uint64_t link)->void> closed; // while idle
     // Whether a response belongs to the request with this id.
     std::function<auto(const HttpMessage &response, std::string_view requestId)->bool> belongs;
+    std::function<auto(std::uint64_t link)->void> opened = {}; // without a request
 };
 
 class HttpLinks
@@ -55,6 +56,9 @@
     ~HttpLinks();
 
     auto send(LinkSend &&request) -> void;
+    // Opens a connection without a request. It is followed by opened or closed, unless the user
+    // closes it before.
+    auto openIdle(std::uint64_t link, std::string_view address) -> void;
     auto close(std::uint64_t link) -> void;
 
 private:
@@ -71,7 +75,7 @@
         bool skipped = false; // a response to another request came before
     };
 
-    auto open(const LinkSend &request) -> Link *;
+    auto open(std::uint64_t id, std::string_view address) -> Link *;
     auto onSocket(std::uint64_t id, Readiness readiness) -> void;
     auto write(Link &link) -> void;
     auto read(Link &link) -> void;
--- a/front/leaftask.cpp
+++ b/front/leaftask.cpp
@@ -34,7 +34,8 @@
                  this->onAnswered(link, std::move(response), usable);
              },
              [this](std::uint64_t link, LinkFailure failure) { this->onFailed(link, failure); },
-             [this](std::uint64_t link) { this->outlet(LinkClosed{LinkId(link)}); }, codec.belongs})
+             [this](std::uint64_t link) { this->outlet(LinkClosed{LinkId(link)}); }, codec.belongs,
+             [this](std::uint64_t link) { this->outlet(LinkOpened{LinkId(link)}); }})
 { }
 
 auto LeafTask::post(SendToLeaf &&send) -> void
@@ -46,6 +47,13 @@
     });
 }
 
+auto LeafTask::post(OpenLink &&open) -> void
+{
+    this->reactor.post([this, open = std::move(open)] {
+        this->links.openIdle(static_cast<std::uint64_t>(open.link), open.address);
+    });
+}
+
 auto LeafTask::post(const CloseLink &close) -> void
 {
     this->reactor.post([this, link = static_cast<std::uint64_t>(close.link)] {
--- a/front/leaftask.h
+++ b/front/leaftask.h
@@ -19,6 +19,7 @@
     LeafTask(Reactor &reactor, const FrontCodec &codec, Outlet outlet);
 
     auto post(forward::SendToLeaf &&send) -> void;
+    auto post(forward::OpenLink &&open) -> void;
     auto post(const forward::CloseLink &close) -> void;
 
 private:
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -555,9 +555,52 @@
             // Guards against a zone whose callers are refused though other zones would serve them.
             CHECK_FALSE(reachesLeafs(bench.forwarder, bench.now));
         }
+        AND_WHEN("its callers have gone elsewhere")
+        {
+            // A request that the own domain can serve.
+            bench.setRoute(gatherRoute(2, 1));
+            for (auto number = 0; number < 10; ++number) {
+                bench.arrive();
+                for (const auto &send : bench.takeSends())
+                    bench.answer(send);
+                bench.pass(200ms);
+            }
+            bench.actions.clear();
+            bench.pass(5s);
+            const auto probes = bench.takeOpens();
+            THEN("it stays so, and opens a connection now and then to find the way open again")
+            {
+                // Guards against an instance that takes callers back only to fail them.
+                CHECK_FALSE(reachesLeafs(bench.forwarder, bench.now));
+                CHECK(probes.size() >= 10);
+                CHECK(probes.size() <= 15);
+            }
+            AND_WHEN("one of them is open")
+            {
+                REQUIRE_FALSE(probes.empty());
+                bench.give(LinkOpened{probes.back().link});
+                THEN("it takes callers again, and the connection serves requests")
+                {
+                    CHECK(reachesLeafs(bench.forwarder, bench.now));
+                    bench.pass(1s);
+                    CHECK(bench.takeOpens().empty());
+                }
+            }
+            AND_WHEN("an earlier one is open after all")
+            {
+                bench.give(LinkOpened{probes.front().link});
+                THEN("it is closed, since it was given up")
+                {
+                    CHECK_FALSE(reachesLeafs(bench.forwarder, bench.now));
+                    CHECK(bench.closedLinks() > 0);
+                }
+            }
+        }
         AND_WHEN("the way is open again")
         {
+            bench.takeOpens();
             bench.pass(1s);
+            bench.give(LinkOpened{bench.takeOpens().back().link});
             for (auto number = 0; number < 40; ++number) {
                 bench.arrive();
                 for (const auto &send : bench.takeSends())
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -385,7 +385,7 @@
     noteDomainAnswer(reachability, "muar-a", now);
     WHEN("several leafs of one domain owe answers and none has answered for a while")
     {
-        updateReachability(reachability, overdue, "muar-a", now);
+        updateReachability(reachability, overdue, now);
         THEN("that domain is suspect, and this instance isn't cut off")
         {
             CHECK(isSuspect(reachability, "muar-b", now));
@@ -403,13 +403,13 @@
     {
         const auto single
                 = std::to_array<OverdueSend>({{"muar-b", 1}, {"muar-b", 1}, {"muar-b", 1}});
-        updateReachability(reachability, single, "muar-a", now);
+        updateReachability(reachability, single, now);
         CHECK_FALSE(isSuspect(reachability, "muar-b", now));
     }
     WHEN("a leaf of the domain has just answered")
     {
         noteDomainAnswer(reachability, "muar-b", now - 100ms);
-        updateReachability(reachability, overdue, "muar-a", now);
+        updateReachability(reachability, overdue, now);
         CHECK_FALSE(isSuspect(reachability, "muar-b", now));
     }
     WHEN("all domains are silent")
@@ -421,7 +421,7 @@
                                                      {"muar-b", 1},
                                                      {"muar-b", 2},
                                                      {"muar-b", 2}});
-        updateReachability(reachability, all, "muar-a", now);
+        updateReachability(reachability, all, now);
         THEN("this instance is cut off, and tries the way now and then")
         {
             CHECK(isCutOff(reachability, now));
@@ -435,6 +435,7 @@
 SCENARIO("an instance that reaches no failure domain but its own")
 {
     auto reachability = Reachability();
+    reachability.ownDomain = "muar-a";
     auto now = TimePoint(1h);
     for (const auto *domain : {"muar-a", "muar-b", "muar-c"})
         noteDomainSend(reachability, domain, now);
@@ -443,36 +444,37 @@
     const auto overdueOf = [](std::string_view domain) {
         return std::to_array<OverdueSend>({{domain, 1}, {domain, 2}, {domain, 2}});
     };
-    updateReachability(reachability, overdueOf("muar-b"), "muar-a", now);
+    updateReachability(reachability, overdueOf("muar-b"), now);
     THEN("it isn't isolated while another one isn't suspect")
     {
-        CHECK_FALSE(isIsolated(reachability, "muar-a", now));
+        CHECK_FALSE(isIsolated(reachability, now));
         CHECK_FALSE(isSuspect(reachability, "muar-b", now + 1s));
     }
     WHEN("the last other one is silent too")
     {
-        updateReachability(reachability, overdueOf("muar-c"), "muar-a", now);
-        THEN("it is isolated, for long enough that the balancer takes notice")
+        updateReachability(reachability, overdueOf("muar-c"), now);
+        THEN("it is isolated until a probe is answered, or requests try again")
         {
             // Guards against an instance with few requests that is ready again before the
             // balancer has asked twice.
-            CHECK(isIsolated(reachability, "muar-a", now + 2500ms));
-            CHECK_FALSE(isIsolated(reachability, "muar-a", now + 3s));
+            CHECK(isIsolated(reachability, now + 14s));
+            CHECK_FALSE(isIsolated(reachability, now + 15s));
             CHECK_FALSE(isCutOff(reachability, now));
         }
         THEN("an answer from any other one ends it")
         {
             noteDomainAnswer(reachability, "muar-c", now);
-            CHECK_FALSE(isIsolated(reachability, "muar-a", now));
+            CHECK_FALSE(isIsolated(reachability, now));
+            CHECK_FALSE(isSuspect(reachability, "muar-b", now));
         }
     }
     WHEN("there is only one other one")
     {
         reachability.domains.erase("muar-c");
-        updateReachability(reachability, overdueOf("muar-b"), "muar-a", now);
+        updateReachability(reachability, overdueOf("muar-b"), now);
         THEN("it isn't isolated, since that one may be lost itself")
         {
-            CHECK_FALSE(isIsolated(reachability, "muar-a", now));
+            CHECK_FALSE(isIsolated(reachability, now));
         }
     }
 }
--- a/tests/forwarderbench.h
+++ b/tests/forwarderbench.h
@@ -86,19 +86,23 @@
         return call;
     }
 
-    // The sends since the last call of this function.
-    auto takeSends() -> std::vector<SendToLeaf>
+    // The actions of one type since the last call for it.
+    template <typename Action>
+    auto takeActions() -> std::vector<Action>
     {
-        auto sends = std::vector<SendToLeaf>();
+        auto taken = std::vector<Action>();
         std::erase_if(this->actions, [&](const ForwardAction &action) {
-            const auto *send = std::get_if<SendToLeaf>(&action);
-            if (send != nullptr)
-                sends.push_back(*send);
-            return send != nullptr;
+            const auto *const content = std::get_if<Action>(&action);
+            if (content != nullptr)
+                taken.push_back(*content);
+            return content != nullptr;
         });
-        return sends;
+        return taken;
     }
 
+    auto takeSends() -> std::vector<SendToLeaf> { return this->takeActions<SendToLeaf>(); }
+    auto takeOpens() -> std::vector<OpenLink> { return this->takeActions<OpenLink>(); }
+
     auto answer(const SendToLeaf &send, LeafAnswerKind kind = LeafAnswerKind::Success,
                 std::uint32_t status = 200) -> void
     {
--- a/tests/front_links.cpp
+++ b/tests/front_links.cpp
@@ -37,6 +37,10 @@
                                },
                                [](const HttpMessage &response, std::string_view id) {
                                    return findHeader(response, "Id").value_or(id) == id;
+                               },
+                               [this](std::uint64_t) {
+                                   const auto lock = std::lock_guard(this->mutex);
+                                   ++this->opened;
                                }});
         });
     }
@@ -95,6 +99,7 @@
     std::vector<Answer> answers; // guarded by mutex, as are the following
     std::vector<LinkFailure> failures;
     int closed = 0;
+    int opened = 0;
 };
 
 } // namespace
@@ -122,6 +127,38 @@
             }));
         }
     }
+    GIVEN("a connection that is opened without a request")
+    {
+        auto server = ScriptedServer([](std::string_view) { return Scripted{okReply("{}")}; });
+        bench.thread.run([&] { bench.links->openIdle(1, server.address()); });
+        REQUIRE(awaitTrue([&] {
+            const auto lock = std::lock_guard(bench.mutex);
+            return bench.opened == 1;
+        }));
+        THEN("it serves requests")
+        {
+            bench.send(server.address(), 1, false);
+            CHECK(bench.waitAnswer().usable);
+            CHECK(server.connections() == 1);
+        }
+    }
+    GIVEN("an address at which nobody listens")
+    {
+        auto address = std::string();
+        {
+            auto server = ScriptedServer([](std::string_view) { return Scripted{okReply("{}")}; });
+            address = server.address();
+        }
+        bench.thread.run([&] { bench.links->openIdle(1, address); });
+        THEN("a connection without a request is reported as closed")
+        {
+            CHECK(awaitTrue([&] {
+                const auto lock = std::lock_guard(bench.mutex);
+                return bench.closed == 1;
+            }));
+            CHECK(bench.opened == 0);
+        }
+    }
     GIVEN("a leaf that sends bytes after its answer")
     {
         auto server
