Say why a front is ready or not, and use common terms for rows and paths

Event 107 names the reason (serving, state_unknown, stopping, leafs_unreachable), since an isolated front and one that is asked to stop looked alike in the log. The table of leafs reuses rows, and an isolated front probes the network path; both had names of their own. Comments that needed a second reading are shorter. No decision changes; core_forwarder, core_forwarder_load and core_forwarder_parts pass.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -19,9 +19,10 @@
 constexpr Duration endMargin = std::chrono::milliseconds(15);
 // A trial is a caller's request that most likely fails, where a refusal could be served elsewhere.
 constexpr Duration routeTrialInterval = std::chrono::milliseconds(400);
-// Callers that have less time left than others by more than this have tried before, or are in more
-// of a hurry: what they spent before says nothing.
+// A caller opens its connection within this time. One that has less time left by more than this has
+// tried before, or gives less time than others.
 constexpr Duration longestOpening = std::chrono::milliseconds(20);
+// Callers seldom change the time that they give.
 constexpr Duration timeLeftMemory = std::chrono::minutes(10);
 // The balancer asks each second whether this instance is ready, and needs two answers.
 constexpr Duration unservableWindow = std::chrono::milliseconds(500);
@@ -85,9 +86,9 @@
     return static_cast<std::size_t>(parts) >= requiredParts(call);
 }
 
-// What a caller has spent before its request arrived, as by the time that it has left compared with
-// the most that others lately had. A caller that opens a connection for its request counts the time
-// for that, too: on a way of 3 ms, 7 to 9 of the 60 ms within which it wants an answer.
+// How much of its time a caller spent before its request arrived: the most that callers of the
+// route lately had left, less what this one has. A caller that opens a connection for its request
+// counts the time for that: with 3 ms one way, 7 to 9 of the 60 ms within which it wants an answer.
 auto noteTimeLeft(RouteStats &stats, Duration timeLeft, TimePoint now) -> Duration
 {
     if (timeLeft >= stats.longestTimeLeft || now - stats.longestTimeLeftAt > timeLeftMemory) {
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -324,7 +324,7 @@
     refuseHeld(forwarder, now, actions);
     closeStaleLinks(forwarder, now, actions);
     checkReachability(forwarder, now);
-    probeWay(forwarder, now, actions);
+    probePath(forwarder, now, actions);
     while (!forwarder.alarms.empty() && forwarder.alarms.top().at <= now) {
         const auto alarm = forwarder.alarms.top();
         forwarder.alarms.pop();
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -69,8 +69,8 @@
     bool mostUnservable = false;
 };
 
-// The search for a way to other failure domains while none of them answers.
-struct WayProbe
+// The probe of the network path to other failure domains while none of them answers.
+struct PathProbe
 {
     std::optional<TimePoint> nextAt;
     std::optional<LinkId> link; // connection that is being opened
@@ -87,7 +87,7 @@
     Reachability reachability;
     TimePoint nextReachabilityCheck = {};
     UnservableWindow unservable;
-    WayProbe probe;
+    PathProbe probe;
     bool instancesKnown = false;
     bool refusesNew = false;
     bool stateRead = false;
--- a/core/forwardprobe.cpp
+++ b/core/forwardprobe.cpp
@@ -15,7 +15,7 @@
 {
     if (forwarder.probe.link)
         actions.emplace_back(CloseLink{*forwarder.probe.link});
-    forwarder.probe = WayProbe();
+    forwarder.probe = PathProbe();
 }
 
 // A leaf in another domain to which this instance has no connection, so that the probe keeps within
@@ -52,7 +52,7 @@
 
 } // namespace
 
-auto probeWay(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions) -> void
+auto probePath(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions) -> void
 {
     auto &probe = forwarder.probe;
     if (!isIsolated(forwarder.reachability, now)) {
@@ -87,7 +87,7 @@
     leaf.links.push_back({link});
     forwarder.links.emplace(link, probe.leaf);
     freeLink(forwarder, leaf, {}, link, now);
-    probe = WayProbe();
+    probe = PathProbe();
 }
 
 auto dropProbe(Forwarder &forwarder, LinkId link) -> void
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -26,9 +26,9 @@
 constexpr Duration longestAvoidance = std::chrono::seconds(2);
 constexpr std::uint32_t mostDoublings = 5;
 
-// The place of a leaf that has left is used again after this time. Calls that tried the leaf still
-// name its index; none takes nearly as long.
-constexpr Duration placeRetention = std::chrono::minutes(10);
+// The row of a leaf that has left is reused after this time. Calls that tried the leaf still name
+// its index; none takes nearly as long.
+constexpr Duration rowRetention = std::chrono::minutes(10);
 
 auto unlist(LeafTable &table, LeafIndexNumber index, TimePoint now) -> void
 {
@@ -80,15 +80,15 @@
     entry->second = index;
 }
 
-// The place of a leaf that left long ago, or a new one.
-auto takePlace(LeafTable &table, TimePoint now) -> LeafIndexNumber
+// The row of a leaf that left long ago, or a new one.
+auto takeRow(LeafTable &table, TimePoint now) -> LeafIndexNumber
 {
     while (!table.unlisted.empty()) {
         const auto index = table.unlisted.front();
         auto &leaf = leafAt(table, index);
         if (leaf.unlistedAt) {
             const auto isUsed = !leaf.links.empty() || !leaf.outstanding.empty();
-            if (isUsed || now - *leaf.unlistedAt < placeRetention)
+            if (isUsed || now - *leaf.unlistedAt < rowRetention)
                 break;
             releaseAddress(table, index);
             table.byId.erase(leaf.record.id);
@@ -123,7 +123,7 @@
 auto putLeaf(LeafTable &table, const LeafRecord &record, TimePoint now) -> void
 {
     const auto found = table.byId.find(record.id);
-    const auto index = found == table.byId.end() ? takePlace(table, now) : found->second;
+    const auto index = found == table.byId.end() ? takeRow(table, now) : found->second;
     if (found == table.byId.end())
         table.byId.emplace(record.id, index);
     auto &leaf = leafAt(table, index);
--- a/core/lifecycle.cpp
+++ b/core/lifecycle.cpp
@@ -34,10 +34,21 @@
         lifecycle.stopRequestedAt = now;
 }
 
-auto isReady(Lifecycle &lifecycle, bool canServe, bool reachesLeafs) -> bool
+auto toString(ServingState state) -> std::string_view
+{
+    static constexpr auto names = std::to_array<std::string_view>(
+            {"serving", "state_unknown", "stopping", "leafs_unreachable"});
+    return names.at(static_cast<std::size_t>(state));
+}
+
+auto servingStateOf(Lifecycle &lifecycle, bool canServe, bool reachesLeafs) -> ServingState
 {
     lifecycle.readyOnce = lifecycle.readyOnce || canServe;
-    return lifecycle.readyOnce && reachesLeafs && !lifecycle.stopRequestedAt;
+    if (lifecycle.stopRequestedAt)
+        return ServingState::Stopping;
+    if (!lifecycle.readyOnce)
+        return ServingState::StateUnknown;
+    return reachesLeafs ? ServingState::Serving : ServingState::LeafsUnreachable;
 }
 
 auto announcesClose(const Lifecycle &lifecycle) -> bool
--- a/core/lifecycle.h
+++ b/core/lifecycle.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 // When an instance behind a balancer is ready, and how it stops without cutting off a request.
 
@@ -25,10 +26,14 @@
 
 auto requestStop(Lifecycle &lifecycle, TimePoint now) -> void;
 
-// Ready as soon as requests can be served, until a stop is asked for, and while leafs can be
+enum class ServingState : std::uint8_t { Serving, StateUnknown, Stopping, LeafsUnreachable };
+
+auto toString(ServingState state) -> std::string_view;
+
+// Serving as soon as requests can be served, until a stop is asked for, and while leafs can be
 // reached. A later loss of the store doesn't make the instance unready: it serves with what it
 // knows.
-auto isReady(Lifecycle &lifecycle, bool canServe, bool reachesLeafs) -> bool;
+auto servingStateOf(Lifecycle &lifecycle, bool canServe, bool reachesLeafs) -> ServingState;
 
 // Answers announce the end of their connection from the stop request on.
 auto announcesClose(const Lifecycle &lifecycle) -> bool;
--- a/core/reachability.cpp
+++ b/core/reachability.cpp
@@ -15,6 +15,7 @@
 // Without an answer to a probe, requests try again after this time: the other domains may be lost,
 // and what the own one can serve is worth serving.
 constexpr Duration isolationTime = std::chrono::seconds(15);
+// With two domains, the other one is as likely to be lost itself.
 constexpr std::size_t leastDomains = 3;
 constexpr Duration trialInterval = std::chrono::milliseconds(150);
 
--- a/core/reachability.h
+++ b/core/reachability.h
@@ -31,7 +31,7 @@
 {
     std::string ownDomain; // of this instance
     std::map<std::string, DomainState, std::less<>> domains; // those that were sent to
-    TimePoint isolatedUntil = {};
+    TimePoint isolatedUntil = {}; // unless another domain answers before
     TimePoint nextTrial = {};
 };
 
@@ -42,9 +42,8 @@
 auto noteDomainAnswer(Reachability &reachability, std::string_view domain, TimePoint now) -> void;
 
 // Suspects the domains in which several leafs owe answers and none has answered for a while. The
-// suspicion lapses by itself, so that the way is tried again. If it leaves no domain but the own
-// one, of three or more, this instance is isolated. If a single other domain is silent, it is as
-// likely that one that is lost.
+// suspicion lapses by itself, so that the path is tried again. If it leaves no domain but the own
+// one, of three or more, this instance is isolated.
 auto updateReachability(Reachability &reachability, std::span<const OverdueSend> overdue,
                         TimePoint now) -> void;
 
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -150,10 +150,12 @@
 auto Front::ready() -> bool
 {
     const auto known = hasRead(this->store.state()) && canServe(this->forwarder.state());
-    const auto isReadyNow
-            = isReady(this->lifecycle, known, reachesLeafs(this->forwarder.state(), decisionNow()));
+    const auto state = servingStateOf(this->lifecycle, known,
+                                      reachesLeafs(this->forwarder.state(), decisionNow()));
+    const auto isReadyNow = state == ServingState::Serving;
     if (isReadyNow != std::exchange(this->reportedReady, isReadyNow)) {
-        logEvent(LogEvent::ReadinessChanged, {{"ready", isReadyNow ? "yes" : "no"}});
+        logEvent(LogEvent::ReadinessChanged,
+                 {{"ready", isReadyNow ? "yes" : "no"}, {"reason", std::string(toString(state))}});
         // The balancer leaves open connections where they are.
         this->callers.setClosing(!isReadyNow);
     }
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -549,23 +549,23 @@
     auto now = TimePoint(1h);
     THEN("it is ready once it can serve, and stays so")
     {
-        CHECK_FALSE(isReady(lifecycle, false, true));
-        CHECK(isReady(lifecycle, true, true));
-        CHECK(isReady(lifecycle, false, true));
+        CHECK(servingStateOf(lifecycle, false, true) == ServingState::StateUnknown);
+        CHECK(servingStateOf(lifecycle, true, true) == ServingState::Serving);
+        CHECK(servingStateOf(lifecycle, false, true) == ServingState::Serving);
     }
     THEN("it is unready while it reaches no leaf")
     {
-        CHECK(isReady(lifecycle, true, true));
-        CHECK_FALSE(isReady(lifecycle, true, false));
-        CHECK(isReady(lifecycle, true, true));
+        CHECK(servingStateOf(lifecycle, true, true) == ServingState::Serving);
+        CHECK(servingStateOf(lifecycle, true, false) == ServingState::LeafsUnreachable);
+        CHECK(servingStateOf(lifecycle, true, true) == ServingState::Serving);
     }
     WHEN("a stop is requested")
     {
-        REQUIRE(isReady(lifecycle, true, true));
+        REQUIRE(servingStateOf(lifecycle, true, true) == ServingState::Serving);
         requestStop(lifecycle, now);
         THEN("it is unready at once and serves on until the balancer has noticed")
         {
-            CHECK_FALSE(isReady(lifecycle, true, true));
+            CHECK(servingStateOf(lifecycle, true, true) == ServingState::Stopping);
             CHECK(announcesClose(lifecycle));
             CHECK_FALSE(closesIdle(lifecycle, now + 3s));
             CHECK_FALSE(mayExit(lifecycle, 0, now + 3s));
