Parse lists and numbers in one place, and keep the platform's words out of the soak

A list joined by commas was split by six loops of their own, and a number that takes up a whole text was parsed by nine functions or blocks, some of them older than the fronts. core/text has one of each; ports of addresses use it too.

The soak and front_path each wrote the platform's entries, routes, desired state and requests by hand. The stand-ins now write them (standins/platformobjects), as they do the settings file that only the soak has, so that the test that keeps the platform's names in their folder covers soak/ as well. The two readings of "all domains are silent" in core/reachability share one function, and the forwarder's test bench answers all sends in one call.

Left as they were: parsers that take a number's first digits only (Keep-Alive, store age, log lines), since they accept more, and the soak's list, which is joined by a comma and a blank.

--- a/core/configuration.cpp
+++ b/core/configuration.cpp
@@ -1,7 +1,8 @@
 #include "configuration.h"
 
+#include "text.h"
+
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -28,11 +29,7 @@
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0)
         return false;
-    const auto digits = text.substr(colon + 1);
-    auto port = 0U;
-    const auto [end, status] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    return status == std::errc() && end == digits.data() + digits.size() && port > 0
-           && port <= 65535;
+    return parseNumber<std::uint16_t>(text.substr(colon + 1)).value_or(0) > 0;
 }
 
 // "list[index]"
--- a/core/reachability.cpp
+++ b/core/reachability.cpp
@@ -1,6 +1,7 @@
 #include "reachability.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace crocusreach::forward {
@@ -19,14 +20,20 @@
 constexpr std::size_t leastDomains = 3;
 constexpr Duration trialInterval = std::chrono::milliseconds(150);
 
+// All domains but the one that is left out, if any.
+auto allSuspect(const Reachability &reachability, std::optional<std::string_view> except,
+                TimePoint now) -> bool
+{
+    return std::all_of(reachability.domains.begin(), reachability.domains.end(),
+                       [&](const auto &item) {
+                           return except == item.first || now < item.second.suspectUntil;
+                       });
+}
+
 auto reachesOwnOnly(const Reachability &reachability, TimePoint now) -> bool
 {
     return reachability.domains.size() >= leastDomains
-           && std::all_of(reachability.domains.begin(), reachability.domains.end(),
-                          [&](const auto &item) {
-                              return item.first == reachability.ownDomain
-                                     || now < item.second.suspectUntil;
-                          });
+           && allSuspect(reachability, reachability.ownDomain, now);
 }
 
 } // namespace
@@ -87,9 +94,7 @@
 
 auto isCutOff(const Reachability &reachability, TimePoint now) -> bool
 {
-    return !reachability.domains.empty()
-           && std::all_of(reachability.domains.begin(), reachability.domains.end(),
-                          [now](const auto &item) { return now < item.second.suspectUntil; });
+    return !reachability.domains.empty() && allSuspect(reachability, {}, now);
 }
 
 auto isIsolated(const Reachability &reachability, TimePoint now) -> bool
--- a/core/requestdiagnosis.cpp
+++ b/core/requestdiagnosis.cpp
@@ -1,5 +1,7 @@
 #include "requestdiagnosis.h"
 
+#include "text.h"
+
 #include <algorithm>
 #include <initializer_list>
 #include <span>
@@ -21,9 +23,7 @@
 
 auto milliseconds(Duration duration) -> std::string
 {
-    auto text = std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    return text.append(" ms");
+    return millisecondsText(duration).append(" ms");
 }
 
 auto joined(const std::set<std::string, std::less<>> &names) -> std::string
--- a/ctl/options.cpp
+++ b/ctl/options.cpp
@@ -1,5 +1,6 @@
 #include "options.h"
 
+#include "core/text.h"
 #include "files.h"
 
 #include <gflags/gflags.h>
@@ -108,11 +109,9 @@
 
 auto addAddresses(std::string_view list, std::vector<std::string> &addresses) -> void
 {
-    while (!list.empty()) {
-        const auto end = std::min(list.find(','), list.size());
-        if (end > 0)
-            addresses.emplace_back(list.substr(0, end));
-        list.remove_prefix(std::min(end + 1, list.size()));
+    for (const auto address : splitList(list)) {
+        if (!address.empty())
+            addresses.emplace_back(address);
     }
 }
 
--- a/formats/requestlog.cpp
+++ b/formats/requestlog.cpp
@@ -1,5 +1,6 @@
 #include "requestlog.h"
 
+#include "core/text.h"
 #include "timetext.h"
 
 #include <algorithm>
@@ -143,11 +144,8 @@
 auto splitNames(std::string_view list) -> std::set<std::string, std::less<>>
 {
     auto names = std::set<std::string, std::less<>>();
-    while (!list.empty()) {
-        const auto end = std::min(list.find(','), list.size());
-        names.emplace(list.substr(0, end));
-        list.remove_prefix(std::min(end + 1, list.size()));
-    }
+    for (const auto name : splitList(list))
+        names.emplace(name);
     return names;
 }
 
--- a/formats/settings.cpp
+++ b/formats/settings.cpp
@@ -1,12 +1,12 @@
 #include "settings.h"
 
+#include "core/text.h"
 #include "jsonreader.h"
 
 #include <arpa/inet.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace crocusreach {
 
@@ -39,13 +39,8 @@
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || !isIpHost(text.substr(0, colon)))
         return false;
-    const auto digits = text.substr(colon + 1);
-    const auto *last = digits.data() + digits.size();
-    auto port = std::uint16_t();
-    const auto [end, status] = std::from_chars(digits.data(), last, port);
-    if (digits.empty() || status != std::errc() || end != last)
-        return false;
-    return port != 0 || portZero == PortZero::Allowed;
+    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
+    return port && (*port != 0 || portZero == PortZero::Allowed);
 }
 
 auto isName(std::string_view text) -> bool
--- a/formats/sheetcsv.cpp
+++ b/formats/sheetcsv.cpp
@@ -1,11 +1,11 @@
 #include "sheetcsv.h"
 
+#include "core/text.h"
 #include "jsonreader.h"
 #include "timetext.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 #include <span>
 
@@ -179,16 +179,6 @@
     return false;
 }
 
-auto parseCount(std::string_view text) -> std::optional<std::size_t>
-{
-    auto count = std::size_t();
-    const auto *last = text.data() + text.size();
-    const auto [end, status] = std::from_chars(text.data(), last, count);
-    if (text.empty() || status != std::errc() || end != last)
-        return std::nullopt;
-    return count;
-}
-
 // Reads the header and returns the number of rows that it declares.
 auto readHeader(const Record &record, Sheet &sheet, SheetErrors &errors)
         -> std::optional<std::size_t>
@@ -207,7 +197,7 @@
     if (sheet.author.empty())
         addError(errors, record.line, "the author is empty");
     checkText(record, "the author", sheet.author, longestName, errors);
-    const auto count = parseCount(record.fields[3]);
+    const auto count = parseNumber<std::size_t>(record.fields[3]);
     if (!count)
         addError(errors, record.line, "the number of rows must be a whole number");
     return count;
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -1,5 +1,7 @@
 #include "frontlog.h"
 
+#include "core/text.h"
+
 #include <variant>
 
 namespace crocusreach {
@@ -8,11 +10,6 @@
 
 namespace {
 
-auto milliseconds(Duration duration) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 auto yesOrNo(bool value) -> std::string
 {
     return value ? "yes" : "no";
@@ -26,7 +23,7 @@
                                             {"address", leaf.address},
                                             {"domain", leaf.domain},
                                             {"draining", yesOrNo(leaf.draining)},
-                                            {"cold_ms", milliseconds(leaf.coldLeft)},
+                                            {"cold_ms", millisecondsText(leaf.coldLeft)},
                                             {"revision", std::to_string(leaf.revision)}});
     }
 }
@@ -65,19 +62,19 @@
             {"end", std::string(toString(summary.end))},
             {"route", summary.route},
             {"version", std::to_string(summary.version)},
-            {"spent_ms", milliseconds(summary.spent)},
-            {"time_left_ms", milliseconds(summary.timeLeftAtArrival)},
-            {"allowed_ms", milliseconds(summary.allowed)},
+            {"spent_ms", millisecondsText(summary.spent)},
+            {"time_left_ms", millisecondsText(summary.timeLeftAtArrival)},
+            {"allowed_ms", millisecondsText(summary.allowed)},
             {"late", yesOrNo(summary.late)},
             {"parts", std::to_string(summary.parts)},
             {"missing", std::to_string(summary.missing)},
             {"sends", std::to_string(summary.sends)},
             {"hedges", std::to_string(summary.hedges)},
             {"retries", std::to_string(summary.retries)},
-            {"usual_ms", milliseconds(summary.usualLatency)},
+            {"usual_ms", millisecondsText(summary.usualLatency)},
             {"waited_for", summary.waitedFor},
-            {"leaf_took_ms", milliseconds(summary.leafTook)},
-            {"leaf_age_ms", milliseconds(summary.leafAge)},
+            {"leaf_took_ms", millisecondsText(summary.leafTook)},
+            {"leaf_age_ms", millisecondsText(summary.leafAge)},
             {"leaf_cold", yesOrNo(summary.leafCold)}};
 }
 
@@ -88,7 +85,7 @@
             {"reason", std::string(toString(repeated.reason))},
             {"former_leaf", repeated.formerLeaf},
             {"leaf", repeated.leaf},
-            {"spent_ms", milliseconds(repeated.spent)}};
+            {"spent_ms", millisecondsText(repeated.spent)}};
 }
 
 auto fieldsOf(const FailedSend &failed) -> std::vector<LogField>
@@ -98,8 +95,8 @@
             {"leaf", failed.leaf},
             {"domain", failed.domain},
             {"reason", std::string(toString(failed.reason))},
-            {"waited_ms", milliseconds(failed.waited)},
-            {"leaf_silence_ms", milliseconds(failed.leafSilence)},
+            {"waited_ms", millisecondsText(failed.waited)},
+            {"leaf_silence_ms", millisecondsText(failed.leafSilence)},
             {"leaf_cold", yesOrNo(failed.leafCold)}};
 }
 
--- a/front/tcpsocket.cpp
+++ b/front/tcpsocket.cpp
@@ -1,5 +1,7 @@
 #include "tcpsocket.h"
 
+#include "core/text.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -7,7 +9,6 @@
 
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <optional>
 
@@ -26,15 +27,12 @@
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos)
         return {};
-    auto port = std::uint16_t(0);
-    const auto digits = text.substr(colon + 1);
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
     auto address = sockaddr_in();
     address.sin_family = AF_INET;
-    address.sin_port = htons(port);
+    address.sin_port = htons(port.value_or(0));
     const auto host = std::string(text.substr(0, colon));
-    const auto valid = parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size()
-                       && inet_pton(AF_INET, host.c_str(), &address.sin_addr) == 1;
+    const auto valid = port && inet_pton(AF_INET, host.c_str(), &address.sin_addr) == 1;
     return valid ? std::optional(address) : std::nullopt;
 }
 
--- a/runtime/adminanswers.cpp
+++ b/runtime/adminanswers.cpp
@@ -1,12 +1,12 @@
 #include "adminanswers.h"
 
+#include "core/text.h"
 #include "formats/adminmessages.h"
 #include "formats/configurationjson.h"
 #include "formats/sheetcsv.h"
 #include "gobject.h"
 
 #include <algorithm>
-#include <charconv>
 #include <iterator>
 #include <limits>
 #include <optional>
@@ -33,16 +33,6 @@
     return different == 0;
 }
 
-auto parseNumber(std::string_view text) -> std::optional<std::uint64_t>
-{
-    auto value = std::uint64_t();
-    const auto *last = text.data() + text.size();
-    const auto [end, status] = std::from_chars(text.data(), last, value);
-    if (text.empty() || status != std::errc() || end != last)
-        return std::nullopt;
-    return value;
-}
-
 auto fieldOf(const QueryFields &query, std::string_view key) -> std::string_view
 {
     const auto found = query.find(key);
@@ -55,7 +45,7 @@
     const auto text = fieldOf(query, "limit");
     if (text.empty())
         return defaultPage;
-    const auto limit = parseNumber(text);
+    const auto limit = parseNumber<std::uint64_t>(text);
     if (!limit || *limit == 0 || *limit > largestPage)
         return std::nullopt;
     return *limit;
@@ -83,7 +73,8 @@
     constexpr std::string_view prefix = "line ";
     if (!error.peer.starts_with(prefix))
         return std::numeric_limits<std::uint64_t>::max();
-    return parseNumber(std::string_view(error.peer).substr(prefix.size())).value_or(0);
+    return parseNumber<std::uint64_t>(std::string_view(error.peer).substr(prefix.size()))
+            .value_or(0);
 }
 
 auto badConfiguration(const Error &error) -> HttpAnswer
@@ -119,7 +110,7 @@
     if (!limit)
         return badLimit();
     const auto afterText = fieldOf(query, "after");
-    const auto after = afterText.empty() ? 0 : parseNumber(afterText);
+    const auto after = afterText.empty() ? 0 : parseNumber<std::uint64_t>(afterText);
     if (!after)
         return badField("after", "must be a revision");
     return {200, writeHistory(configuration, Revision{*after}, *limit)};
@@ -176,7 +167,7 @@
 auto readConfigurationChange(std::string_view body, const ChangeHeaders &headers,
                              std::string_view author) -> std::variant<ChangeRequest, HttpAnswer>
 {
-    const auto expected = parseNumber(headers.expectedRevision);
+    const auto expected = parseNumber<std::uint64_t>(headers.expectedRevision);
     if (!expected)
         return badField("If-Match", "must be the revision that the change is based on");
     auto parsed = parseConfiguration(body, "request");
--- a/runtime/httplisten.cpp
+++ b/runtime/httplisten.cpp
@@ -1,9 +1,8 @@
 #include "httplisten.h"
 
+#include "core/text.h"
 #include "gobject.h"
 
-#include <charconv>
-
 namespace crocusreach {
 
 namespace {
@@ -13,17 +12,14 @@
     const auto colon = address.rfind(':');
     if (colon == std::string_view::npos)
         return {};
-    auto port = std::uint16_t(0);
-    const auto digits = address.substr(colon + 1);
-    const auto *end = digits.data() + digits.size();
-    if (const auto [stopped, error] = std::from_chars(digits.data(), end, port);
-        error != std::errc() || stopped != end)
+    const auto port = parseNumber<std::uint16_t>(address.substr(colon + 1));
+    if (!port)
         return {};
     auto host = address.substr(0, colon);
     if (host.starts_with('[') && host.ends_with(']'))
         host = host.substr(1, host.size() - 2);
     return ObjectPtr<GSocketAddress>(
-            g_inet_socket_address_new_from_string(std::string(host).c_str(), port));
+            g_inet_socket_address_new_from_string(std::string(host).c_str(), *port));
 }
 
 // The address of the server's only listener.
--- a/runtime/targetreply.cpp
+++ b/runtime/targetreply.cpp
@@ -1,10 +1,10 @@
 #include "targetreply.h"
 
+#include "core/text.h"
 #include "gobject.h"
 
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace crocusreach {
@@ -16,17 +16,6 @@
     return viewOf(soup_message_headers_get_one(headers, name));
 }
 
-template <typename Number>
-auto parseNumber(std::string_view text) -> std::optional<Number>
-{
-    auto value = Number{};
-    const auto *end = text.data() + text.size();
-    const auto [stopped, error] = std::from_chars(text.data(), end, value);
-    if (error != std::errc() || stopped != end)
-        return std::nullopt;
-    return value;
-}
-
 auto parseState(std::string_view text) -> TargetState
 {
     if (text == "warm")
@@ -50,11 +39,9 @@
 auto parseVersions(std::string_view text) -> std::vector<IndexVersion>
 {
     auto versions = std::vector<IndexVersion>();
-    while (!text.empty()) {
-        const auto comma = std::min(text.find(','), text.size());
-        if (const auto value = parseNumber<std::uint64_t>(trimmed(text.substr(0, comma))))
+    for (const auto item : splitList(text)) {
+        if (const auto value = parseNumber<std::uint64_t>(trimmed(item)))
             versions.push_back(IndexVersion(*value));
-        text.remove_prefix(std::min(comma + 1, text.size()));
     }
     return versions;
 }
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,5 +1,7 @@
 #include "callers.h"
 
+#include "standins/platformobjects.h"
+
 #include <algorithm>
 #include <random>
 
@@ -20,10 +22,7 @@
 auto requestText(std::uint32_t kind, const std::string &id) -> std::string
 {
     const auto *const target = kind == Gather ? "/all/x" : kind == Single ? "/one/x" : "/once/x";
-    const auto *const method = kind == Once ? "POST " : "GET ";
-    return std::string(method) + target + " HTTP/1.1\r\nHost: a.example\r\nCrocusreach-Request-Id: "
-           + id + "\r\nCrocusreach-Deadline-Ms: " + std::to_string(timeLeft.count())
-           + (kind == Once ? "\r\nContent-Length: 2\r\n\r\n{}" : "\r\n\r\n");
+    return standins::callerRequestText(kind == Once ? "POST" : "GET", target, id, timeLeft.count());
 }
 
 // The records that a leaf answers a request with; the stand-in makes the same ones.
@@ -167,7 +166,7 @@
 {
     auto records = std::vector<std::string>();
     auto services = std::set<std::string>();
-    const auto receipts = split(findHeader(response, "Crocusreach-Part-Stamps").value_or(""));
+    const auto receipts = split(findHeader(response, standins::partReceiptsHeader).value_or(""));
     for (const auto &receipt : receipts) {
         const auto dot = receipt.rfind('.');
         const auto leaf = receipt.substr(0, dot);
@@ -178,7 +177,7 @@
             records.push_back(std::move(record));
     }
     const auto missing = std::stoul(
-            std::string(findHeader(response, "Crocusreach-Missing-Parts").value_or("0")));
+            std::string(findHeader(response, standins::missingPartsHeader).value_or("0")));
     this->counted.partial += missing > 0 ? 1 : 0;
     if (services.size() != receipts.size())
         return this->find(requestFinding(id, "got two parts of one service"));
@@ -194,7 +193,7 @@
 
 auto Callers::checkSingle(const HttpMessage &response, const std::string &id) -> void
 {
-    const auto receipt = std::string(findHeader(response, "Crocusreach-Server-Stamp").value_or(""));
+    const auto receipt = std::string(findHeader(response, standins::receiptHeader).value_or(""));
     const auto dot = receipt.rfind('.');
     if (dot == std::string::npos || receipt.substr(dot + 1) != id)
         return this->find(requestFinding(id, "got the answer " + receipt));
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "standins/platformobjects.h"
+
 #include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -66,13 +68,10 @@
     const auto next = front.settingsPath + ".new";
     {
         auto file = std::ofstream(next);
-        file << "node_name=" << front.name << "\nzone=" << front.domain << "\nip=" << front.ip
-             << "\nlisten_addrs.front=" << withPort(fleet, front, 0)
-             << "\nlisten_addrs.ready=" << withPort(fleet, front, 1)
-             << "\nlisten_addrs.control=" << withPort(fleet, front, 2) << "\nseeds=" << seeds
-             << "\nplatform.address=" << fleet.storeAddress << "\nbounds.grace_s=" << grace.count()
-             << "\nbounds.drain_ms=3000\nbounds.retry_budget_ratio=0.2\nbounds.retry_slack=50"
-             << "\nbounds.budget_window_s=10\n# change " << change << "\n";
+        file << standins::settingsText({front.name, front.domain, front.ip,
+                                        callerAddress(fleet, front), readyAddress(fleet, front),
+                                        withPort(fleet, front, 2), seeds, fleet.storeAddress,
+                                        grace.count(), change});
     }
     std::rename(next.c_str(), front.settingsPath.c_str());
 }
@@ -80,7 +79,7 @@
 auto startFront(Fleet &fleet, FrontProcess &front) -> void
 {
     front.startedAt = std::chrono::steady_clock::now();
-    const auto variable = "CROCUSREACH_SETTINGS=" + front.settingsPath;
+    const auto variable = std::string(standins::settingsVariable) + "=" + front.settingsPath;
     const auto log = ::open(front.logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     front.pid = ::fork();
     if (front.pid == 0) {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "callers.h"
 #include "faultproxy.h"
 #include "fleet.h"
+#include "standins/platformobjects.h"
 #include "standins/platformstore.h"
 
 #include <gflags/gflags.h>
@@ -116,15 +117,9 @@
     {
         const auto &leaf = this->leafs.at(id);
         this->worker.run([&] {
-            this->store->put("servers", id,
-                             {{"backend", leaf.service},
-                              {"address", leaf.proxy->address()},
-                              {"zone", leaf.domain},
-                              {"version", "v1"},
-                              {"slots", 4},
-                              {"state", leaf.draining ? "draining" : "ready"},
-                              {"warmup_left_ms", 0},
-                              {"seq", 1}});
+            this->store->put(
+                    leafKind, id,
+                    leafSpec({leaf.service, leaf.proxy->address(), leaf.domain, leaf.draining}));
         });
     }
 
@@ -134,31 +129,14 @@
         for (auto shard = 0; shard < shardsPerSet; ++shard)
             shards.push_back("set" + std::to_string(set) + "-" + std::to_string(shard));
         this->shardSets.add({shards.begin(), shards.end()});
-        const auto route = [](const char *name, const char *type) {
-            return Json{{"name", name},
-                        {"hostname", "a.example"},
-                        {"path_prefix", std::string("/") + name + "/"},
-                        {"type", type},
-                        {"timeout_ms", 1500},
-                        {"priority", 1},
-                        {"target_latency_ms", 300},
-                        {"max_attempts", 2}};
-        };
-        auto all = route("all", "safe");
-        all["gather"] = shards;
-        all["top_k"] = 5;
-        all["min_shard_ratio"] = 0.5;
-        auto one = route("one", "safe");
-        one["backend"] = "ledger";
-        auto once = route("once", "unsafe");
-        once["backend"] = "ledger";
+        const auto options = RouteOptions{1500, 300, 1};
+        const auto routes = Json{gatherRouteSpec("/all/", shards, 0.5, options),
+                                 singleRouteSpec("/one/", "ledger", true, options),
+                                 singleRouteSpec("/once/", "ledger", false, options)};
         this->version += 3;
         this->worker.run([&] {
-            this->store->put("config", "main",
-                             {{"version", this->version},
-                              {"routes", {all, one, once}},
-                              {"backends", Json::array()},
-                              {"limits", Json::object()}});
+            this->store->put(desiredStateKind, desiredStateName,
+                             desiredStateSpec(this->version, routes, Json::object()));
         });
     }
 
@@ -291,15 +269,15 @@
     case 1: {
         const auto &id = world.pickLeaf().first;
         std::cout << "remove the entry of " << id << '\n';
-        world.worker.run([&] { world.store->remove("servers", id); });
+        world.worker.run([&] { world.store->remove(leafKind, id); });
         return [&world, &id] { world.enter(id); };
     }
     case 2: {
         const auto domain = "zone-" + std::to_string(world.random() % 3);
         std::cout << "evacuate " << domain << '\n';
-        world.worker.run([&] { world.store->put("evacuations", domain, Json::object()); });
+        world.worker.run([&] { world.store->put(evacuationKind, domain, Json::object()); });
         return [&world, domain] {
-            world.worker.run([&] { world.store->remove("evacuations", domain); });
+            world.worker.run([&] { world.store->remove(evacuationKind, domain); });
         };
     }
     default:
@@ -342,8 +320,7 @@
         -> std::optional<HttpMessage>
 {
     auto client = tests::TestClient(address);
-    client.send("GET " + target + " HTTP/1.1\r\nHost: a.example\r\nCrocusreach-Request-Id: " + id
-                + "\r\nCrocusreach-Deadline-Ms: 1500\r\n\r\n");
+    client.send(callerRequestText("GET", target, id, 1500));
     return client.receive(2s);
 }
 
@@ -358,11 +335,11 @@
         for (auto number = 0; good < 3 && std::chrono::steady_clock::now() < deadline; ++number) {
             const auto response = askOnce(callerAddress(fleet, front), "/all/x",
                                           "r" + front.name + std::to_string(number));
-            const auto parts = response ? findHeader(*response, "Crocusreach-Part-Stamps")
+            const auto parts = response ? findHeader(*response, partReceiptsHeader)
                                                   .value_or(std::string_view())
                                         : std::string_view();
             const auto whole = response && response->status == 200 && parts.starts_with(prefix)
-                               && findHeader(*response, "Crocusreach-Missing-Parts") == "0";
+                               && findHeader(*response, missingPartsHeader) == "0";
             good = whole ? good + 1 : 0;
             std::this_thread::sleep_for(whole ? 10ms : 200ms);
         }
@@ -406,7 +383,7 @@
 {
     return tests::awaitTrue([&fleet] {
         return std::all_of(fleet.fronts.begin(), fleet.fronts.end(), [&](const auto &front) {
-            const auto response = askOnce(readyAddress(fleet, front), "/api/ready", "ready");
+            const auto response = askOnce(readyAddress(fleet, front), readyTarget, "ready");
             return response && response->status == 200;
         });
     });
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -448,8 +448,7 @@
     for (auto shard = 0; shard < 6; ++shard)
         bench.addLeaf("shard-" + std::to_string(shard), "leaf-" + std::to_string(shard));
     bench.arrive();
-    for (const auto &send : bench.takeSends())
-        bench.answer(send);
+    bench.answerAll();
     bench.arrive();
     bench.takeSends();
     bench.pass(400ms);
@@ -496,8 +495,7 @@
             bench.answer(sends[index]);
     };
     bench.arrive(400ms);
-    for (const auto &send : bench.takeSends())
-        bench.answer(send);
+    bench.answerAll();
     GIVEN("one that has 8 ms less left than others, and a leaf that stands still")
     {
         const auto call = bench.arrive(392ms);
@@ -561,8 +559,7 @@
             bench.setRoute(gatherRoute(2, 1));
             for (auto number = 0; number < 10; ++number) {
                 bench.arrive();
-                for (const auto &send : bench.takeSends())
-                    bench.answer(send);
+                bench.answerAll();
                 bench.pass(200ms);
             }
             bench.actions.clear();
@@ -603,8 +600,7 @@
             bench.give(LinkOpened{bench.takeOpens().back().link});
             for (auto number = 0; number < 40; ++number) {
                 bench.arrive();
-                for (const auto &send : bench.takeSends())
-                    bench.answer(send);
+                bench.answerAll();
                 bench.pass(25ms);
             }
             THEN("it takes callers again")
--- a/tests/forwarderbench.h
+++ b/tests/forwarderbench.h
@@ -114,6 +114,13 @@
         this->give(LeafAnswered{send.send, content, true, {}});
     }
 
+    // Answers the sends since the last call of takeSends().
+    auto answerAll() -> void
+    {
+        for (const auto &send : this->takeSends())
+            this->answer(send);
+    }
+
     auto answerOf(CallId call) const -> const CallAnswer *
     {
         for (const auto &action : this->actions) {
--- a/tests/front_path.cpp
+++ b/tests/front_path.cpp
@@ -3,6 +3,7 @@
 #include "front/front.h"
 #include "platform/codec.h"
 #include "standins/platformleaf.h"
+#include "standins/platformobjects.h"
 #include "standins/platformstore.h"
 #include "testclient.h"
 
@@ -21,32 +22,9 @@
 
 namespace {
 
-auto gatherRoute(const char *prefix, std::vector<std::string> shards, double ratio) -> Json
+auto singleRoute(const char *prefix, bool idempotent) -> Json
 {
-    return {{"name", std::string("r") + prefix},
-            {"hostname", "a.example"},
-            {"path_prefix", prefix},
-            {"type", "safe"},
-            {"timeout_ms", 2000},
-            {"target_latency_ms", 1000},
-            {"priority", 1},
-            {"max_attempts", 2},
-            {"gather", std::move(shards)},
-            {"top_k", 5},
-            {"min_shard_ratio", ratio}};
-}
-
-auto singleRoute(const char *prefix, const char *service, const char *type) -> Json
-{
-    return {{"name", std::string("r") + prefix},
-            {"hostname", "a.example"},
-            {"path_prefix", prefix},
-            {"type", type},
-            {"timeout_ms", 2000},
-            {"target_latency_ms", 1000},
-            {"priority", 2},
-            {"max_attempts", 2},
-            {"backend", service}};
+    return singleRouteSpec(prefix, "ledger", idempotent, {2000, 1000, 2});
 }
 
 // A store, leafs and one front with the real encodings, all in this process.
@@ -74,41 +52,29 @@
     {
         this->worker.run([&] {
             auto leaf = std::make_unique<PlatformLeaf>("127.0.0.1:0", id, this->ledger);
-            this->enterLeaf(service, id, domain, leaf->address(), "ready");
+            this->enterLeaf(service, id, domain, leaf->address(), false);
             this->leafs[id] = std::move(leaf);
         });
     }
 
     // In the worker's thread.
     auto enterLeaf(const std::string &service, const std::string &id, const std::string &domain,
-                   const std::string &address, const char *state) -> void
+                   const std::string &address, bool draining) -> void
     {
-        this->store->put("servers", id,
-                         {{"backend", service},
-                          {"address", address},
-                          {"zone", domain},
-                          {"version", "v1"},
-                          {"slots", 4},
-                          {"state", state},
-                          {"warmup_left_ms", 0},
-                          {"seq", 1}});
+        this->store->put(leafKind, id, leafSpec({service, address, domain, draining}));
     }
 
     auto drain(const std::string &service, const std::string &id, const std::string &domain) -> void
     {
-        this->worker.run([&] {
-            this->enterLeaf(service, id, domain, this->leafs.at(id)->address(), "draining");
-        });
+        this->worker.run(
+                [&] { this->enterLeaf(service, id, domain, this->leafs.at(id)->address(), true); });
     }
 
     auto configure(int version, const std::vector<Json> &routes) -> void
     {
         this->worker.run([&] {
-            this->store->put("config", "main",
-                             {{"version", version},
-                              {"routes", routes},
-                              {"backends", Json::array()},
-                              {"limits", {{"max_header_bytes", 4000}}}});
+            this->store->put(desiredStateKind, desiredStateName,
+                             desiredStateSpec(version, routes, {{"max_header_bytes", 4000}}));
         });
     }
 
@@ -174,16 +140,14 @@
     {
         if (id.empty())
             id = "id-" + std::to_string(++this->lastId);
-        return method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nCrocusreach-Request-Id: "
-               + id + "\r\nCrocusreach-Deadline-Ms: 2000\r\n"
-               + (method == "POST" ? "Content-Length: 2\r\n\r\n{}" : "\r\n");
+        return callerRequestText(method, target, id, 2000);
     }
 
     // The leaf whose receipt an answer bears; empty if none.
     static auto leafOf(const HttpMessage &response) -> std::string
     {
-        const auto receipt = std::string(
-                findHeader(response, "Crocusreach-Server-Stamp").value_or(std::string_view()));
+        const auto receipt
+                = std::string(findHeader(response, receiptHeader).value_or(std::string_view()));
         return receipt.substr(0, receipt.find('.'));
     }
 
@@ -202,15 +166,15 @@
 SCENARIO("requests go through a front from end to end")
 {
     auto path = Path();
-    for (const auto *shard : {"s1", "s2", "s3"}) {
-        path.addLeaf(shard, std::string(shard) + "-a", "muar-a");
-        path.addLeaf(shard, std::string(shard) + "-b", "muar-b");
+    const auto shards = std::vector<std::string>{"s1", "s2", "s3"};
+    for (const auto &shard : shards) {
+        path.addLeaf(shard, shard + "-a", "muar-a");
+        path.addLeaf(shard, shard + "-b", "muar-b");
     }
     path.addLeaf("ledger", "l-a", "muar-a");
     path.addLeaf("ledger", "l-b", "muar-b");
-    path.configure(3, {gatherRoute("/all/", {"s1", "s2", "s3"}, 0.6),
-                       singleRoute("/one/", "ledger", "safe"),
-                       singleRoute("/pay/", "ledger", "unsafe")});
+    path.configure(3, {gatherRouteSpec("/all/", shards, 0.6, {2000, 1000, 1}),
+                       singleRoute("/one/", true), singleRoute("/pay/", false)});
     path.startFront();
 
     WHEN("a query asks all shards")
@@ -311,14 +275,14 @@
     }
     WHEN("a failure domain is evacuated and taken back")
     {
-        path.worker.run([&] { path.store->put("evacuations", "muar-a", Json::object()); });
+        path.worker.run([&] { path.store->put(evacuationKind, "muar-a", Json::object()); });
         CHECK(awaitTrue([&] { return Path::leafOf(path.ask("/one/x")) == "l-b"; }));
-        path.worker.run([&] { path.store->remove("evacuations", "muar-a"); });
+        path.worker.run([&] { path.store->remove(evacuationKind, "muar-a"); });
         CHECK(awaitTrue([&] { return Path::leafOf(path.ask("/one/x")) == "l-a"; }));
     }
     WHEN("a newer desired state drops a route")
     {
-        path.configure(5, {singleRoute("/one/", "ledger", "safe")});
+        path.configure(5, {singleRoute("/one/", true)});
         THEN("it is in force soon")
         {
             CHECK(awaitTrue([&] { return path.ask("/all/x").status == 404; }));
@@ -338,7 +302,7 @@
                 path.store->setAvailability(PlatformAvailability::Up);
                 path.store->forgetHistory();
             });
-            path.configure(9, {singleRoute("/late/", "ledger", "safe")});
+            path.configure(9, {singleRoute("/late/", true)});
             CHECK(awaitTrue([&] { return path.ask("/late/x").status == 200; }));
         }
     }
@@ -380,7 +344,7 @@
 {
     auto path = Path();
     path.addLeaf("ledger", "l-a", "muar-a");
-    path.configure(3, {singleRoute("/one/", "ledger", "safe")});
+    path.configure(3, {singleRoute("/one/", true)});
     path.worker.run([&] { path.store->setAvailability(PlatformAvailability::Busy); });
     path.thread = std::make_unique<MainThread>("front");
     path.thread->run([&] {
--- a/tests/platform_names.cpp
+++ b/tests/platform_names.cpp
@@ -48,7 +48,7 @@
 {
     const auto root = fs::path(CROCUSREACH_SOURCE_FOLDER);
     for (const auto *folder :
-         {"core", "base", "front", "runtime", "formats", "wire", "instance", "ctl"}) {
+         {"core", "base", "front", "runtime", "formats", "wire", "instance", "ctl", "soak"}) {
         for (const auto &entry : fs::recursive_directory_iterator(root / folder)) {
             if (entry.path().extension() != ".cpp" && entry.path().extension() != ".h")
                 continue;
