Log operators' changes with author, result and revision

Ruled out: a line in core/administration, which has no input or output; a line for each store call, which says nothing about the operator.

Change: the administration task writes event 213 for a stored change and event 214 for one that was refused, not accepted or whose result is not known. A change id is cut to the longest valid one, so that a call can't fill the log.

Before: no line.

--- a/base/log.h
+++ b/base/log.h
@@ -41,6 +41,8 @@
     EvacuationsChanged = 210,
     InstancesCounted = 211,
     SourceChanged = 212,
+    ChangeAccepted = 213,
+    ChangeRefused = 214,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
--- a/runtime/adminserver.cpp
+++ b/runtime/adminserver.cpp
@@ -2,6 +2,7 @@
 
 #include "adminanswers.h"
 #include "base/clock.h"
+#include "base/log.h"
 #include "formats/adminmessages.h"
 #include "formats/configurationjson.h"
 #include "httplisten.h"
@@ -15,6 +16,7 @@
 
 constexpr std::string_view storedKey = "config/current";
 constexpr std::size_t largestValue = 1 << 20; // bytes of an object in the store
+constexpr std::size_t longestChangeId = 64; // that is valid; the log holds no more of others
 constexpr goffset largestBody = 1 << 20; // bytes
 // On top of a store call's own timeout, so that the store task answers first.
 constexpr auto storeMargin = std::chrono::milliseconds(500);
@@ -144,6 +146,37 @@
     return {200, R"({"state":"serving"})"};
 }
 
+auto kindOf(const ChangeRequest &change) -> std::string
+{
+    return std::visit(
+            Overloaded{[](const ApplySheet &) { return std::string("sheet"); },
+                       [](const ReplaceConfiguration &) { return std::string("configuration"); },
+                       [](const SetState &set) {
+                           return std::string(toString(set.kind))
+                                   .append("/")
+                                   .append(set.name)
+                                   .append("=")
+                                   .append(toString(set.state));
+                       }},
+            change.request);
+}
+
+auto logResult(const ChangeRequest &change, const ChangeResult &result) -> void
+{
+    const auto stored
+            = result.status == ChangeStatus::Applied || result.status == ChangeStatus::Unchanged;
+    auto fields = std::vector<LogField>{{"change", change.changeId.substr(0, longestChangeId)},
+                                        {"kind", kindOf(change)},
+                                        {"author", change.author},
+                                        {"status", std::string(toString(result.status))},
+                                        {"revision", std::to_string(number(result.revision))}};
+    if (stored)
+        fields.push_back({"repeated", result.repeated ? "yes" : "no"});
+    else if (!result.errors.empty())
+        fields.push_back({"error", describe(result.errors.front())});
+    logEvent(stored ? LogEvent::ChangeAccepted : LogEvent::ChangeRefused, fields);
+}
+
 auto send(AdminRequest &&request, const HttpAnswer &answer) -> void
 {
     respond(request.message.get(), answer);
@@ -331,8 +364,10 @@
 auto AdminServer::perform(AdminRequest &&request, AdministrationActions &&actions) -> void
 {
     auto &action = actions.back();
-    if (const auto *result = std::get_if<ChangeResult>(&action))
+    if (const auto *result = std::get_if<ChangeResult>(&action)) {
+        logResult(request.change->request, *result);
         return send(std::move(request), {httpStatus(*result), writeChangeResult(*result)});
+    }
     auto call = ObjectCall{ObjectOperation::Get, std::string(storedKey), "", 0};
     if (const auto *write = std::get_if<WriteConfiguration>(&action)) {
         call.operation = ObjectOperation::Put;
--- a/tests/runtime_admin.cpp
+++ b/tests/runtime_admin.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "adminfixture.h"
+#include "base/log.h"
 #include "processes.h"
 
 using namespace crocusreach;
@@ -116,6 +117,34 @@
             CHECK(error["conflicting"][0]["author"] == "planner");
         }
     }
+    GIVEN("a log, and changes that are stored, repeated, refused and not accepted")
+    {
+        auto written = std::ostringstream();
+        startLog(Severity::Info, written);
+        post("/admin/v1/domain/muar-a/out", stateBody("id-1"));
+        post("/admin/v1/domain/muar-a/out", stateBody("id-1"));
+        post("/admin/v1/domain/muar-a/in", stateBody(std::string(5000, '/')));
+        store.setFault(StoreFault::LoseAllReplies);
+        post("/admin/v1/domain/muar-a/in", stateBody("id-2"));
+        stopLog();
+        THEN("each has a line with its author, its result and what it was about")
+        {
+            // Guards against a decision that the on-call engineer finds in force without a trace of
+            // who made it, and against a caller that fills the log with one call.
+            const auto text = written.str();
+            const auto holds
+                    = [&](std::string_view part) { return text.find(part) != std::string::npos; };
+            CHECK(holds(
+                    "name=change_accepted severity=info text=\"an operator's change is stored\" "
+                    "change=id-1 kind=\"domain/muar-a=out\" author=planner status=applied "
+                    "revision=2 repeated=no"));
+            CHECK(holds("revision=2 repeated=yes"));
+            CHECK(holds("status=invalid"));
+            CHECK(holds("change=id-2 kind=\"domain/muar-a=in\" author=planner "
+                        "status=not_accepted"));
+            CHECK(text.size() < 2000);
+        }
+    }
     GIVEN("a store that loses the reply to the write")
     {
         store.setFault(StoreFault::LoseOneWriteReply);
