Bring about ten faults at the stand-ins and read their places from the log

Cause: front_explain plays leafs by hand and writes the log itself.

Ruled out: a section in front_explain, which has no sockets; the soak, which draws its faults by a seed and can't say which place is right.

Change: front_faults runs a front with its sockets and its log between stand-in leafs, a store and callers: slow, paused and cold leafs, a reached cap, an evacuated failure domain, a dropped route, a store that is away, overload, a silent connection and a deadline that is too short. The path of front_path moves to tests/platformpath.h for both.

Before: none of the ten at the stand-ins.

--- a/standins/platformobjects.cpp
+++ b/standins/platformobjects.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-auto leafSpec(const LeafEntry &entry) -> Json
+auto leafSpec(const RegisteredLeaf &entry) -> Json
 {
     return {{"backend", entry.service},
             {"address", entry.address},
@@ -31,7 +31,7 @@
             {"version", "v1"},
             {"slots", 4},
             {"state", entry.draining ? "draining" : "ready"},
-            {"warmup_left_ms", 0},
+            {"warmup_left_ms", entry.coldLeft},
             {"seq", 1}};
 }
 
@@ -53,12 +53,13 @@
     return route;
 }
 
-auto desiredStateSpec(std::int64_t version, const Json &routes, const Json &limits) -> Json
+auto desiredStateSpec(std::int64_t version, const Json &routes, const Json &limits,
+                      std::span<const ServiceLimit> services) -> Json
 {
-    return {{"version", version},
-            {"routes", routes},
-            {"backends", Json::array()},
-            {"limits", limits}};
+    auto entries = Json::array();
+    for (const auto &service : services)
+        entries.push_back({{"name", service.service}, {"max_conns", service.mostConnections}});
+    return {{"version", version}, {"routes", routes}, {"backends", entries}, {"limits", limits}};
 }
 
 auto settingsText(const FrontSettingsFile &file) -> std::string
--- a/standins/platformobjects.h
+++ b/standins/platformobjects.h
@@ -26,15 +26,16 @@
 constexpr auto partReceiptsHeader = "Crocusreach-Part-Stamps";
 constexpr auto receiptHeader = "Crocusreach-Server-Stamp";
 
-struct LeafEntry
+struct RegisteredLeaf
 {
     std::string service;
     std::string address;
     std::string domain;
     bool draining = false;
+    std::int64_t coldLeft = 0; // milliseconds
 };
 
-auto leafSpec(const LeafEntry &entry) -> nlohmann::json;
+auto leafSpec(const RegisteredLeaf &entry) -> nlohmann::json;
 
 struct RouteOptions
 {
@@ -49,8 +50,15 @@
 auto singleRouteSpec(std::string_view prefix, std::string_view service, bool idempotent,
                      const RouteOptions &options) -> nlohmann::json;
 
+struct ServiceLimit
+{
+    std::string service;
+    int mostConnections = 0; // of one leaf, from all instances
+};
+
 auto desiredStateSpec(std::int64_t version, const nlohmann::json &routes,
-                      const nlohmann::json &limits) -> nlohmann::json;
+                      const nlohmann::json &limits, std::span<const ServiceLimit> services = {})
+        -> nlohmann::json;
 
 // The settings of a front, as the platform writes them.
 struct FrontSettingsFile
--- a/tests/front_path.cpp
+++ b/tests/front_path.cpp
@@ -1,24 +1,11 @@
 #include <catch2/catch.hpp>
 
-#include "front/front.h"
-#include "platform/codec.h"
-#include "standins/platformleaf.h"
-#include "standins/platformobjects.h"
-#include "standins/platformstore.h"
-#include "testclient.h"
+#include "platformpath.h"
 
 #include <atomic>
-#include <map>
-#include <memory>
-#include <set>
-#include <string>
-#include <vector>
 
 using namespace crocusreach;
 using namespace crocusreach::tests;
-using namespace crocusreach::standins;
-using namespace std::chrono_literals;
-using Json = nlohmann::json;
 
 namespace {
 
@@ -27,145 +14,11 @@
     return singleRouteSpec(prefix, "ledger", idempotent, {2000, 1000, 2});
 }
 
-// A store, leafs and one front with the real encodings, all in this process.
-struct Path
-{
-    Path()
-    {
-        this->worker.run([this] { this->store = std::make_unique<PlatformStore>("127.0.0.1:0"); });
-    }
-
-    ~Path()
-    {
-        this->stopFront();
-        this->worker.run([this] {
-            this->leafs.clear();
-            this->store.reset();
-        });
-    }
-
-    Path(const Path &) = delete;
-    auto operator=(const Path &) -> Path & = delete;
-
-    auto addLeaf(const std::string &service, const std::string &id, const std::string &domain)
-            -> void
-    {
-        this->worker.run([&] {
-            auto leaf = std::make_unique<PlatformLeaf>("127.0.0.1:0", id, this->ledger);
-            this->enterLeaf(service, id, domain, leaf->address(), false);
-            this->leafs[id] = std::move(leaf);
-        });
-    }
-
-    // In the worker's thread.
-    auto enterLeaf(const std::string &service, const std::string &id, const std::string &domain,
-                   const std::string &address, bool draining) -> void
-    {
-        this->store->put(leafKind, id, leafSpec({service, address, domain, draining}));
-    }
-
-    auto drain(const std::string &service, const std::string &id, const std::string &domain) -> void
-    {
-        this->worker.run(
-                [&] { this->enterLeaf(service, id, domain, this->leafs.at(id)->address(), true); });
-    }
-
-    auto configure(int version, const std::vector<Json> &routes) -> void
-    {
-        this->worker.run([&] {
-            this->store->put(desiredStateKind, desiredStateName,
-                             desiredStateSpec(version, routes, {{"max_header_bytes", 4000}}));
-        });
-    }
-
-    auto setMode(const std::string &id, PlatformLeafMode mode) -> void
-    {
-        this->worker.run([&] { this->leafs.at(id)->setMode(mode); });
-    }
-
-    auto settings() const -> FrontSettings
-    {
-        auto made = FrontSettings();
-        made.instance = "front-1";
-        made.callerAddress = "127.0.0.1:0";
-        made.readyAddress = "127.0.0.1:0";
-        made.adminAddress = "127.0.0.1:0";
-        made.seedAddress = "127.0.0.1:0";
-        made.storeAddress = this->store->address();
-        made.forwarder.domain = "muar-a";
-        made.forwarder.repeats = {0.2, 100, 10s};
-        made.lifecycle.grace = 2s;
-        return made;
-    }
-
-    auto startFront() -> void
-    {
-        this->thread = std::make_unique<MainThread>("front");
-        this->thread->run([this] {
-            auto started = Front::start(this->settings(), platform::makeCodec(),
-                                        this->thread->context());
-            this->front = std::get<std::unique_ptr<Front>>(std::move(started));
-            this->addresses = this->front->addresses();
-        });
-        REQUIRE(awaitTrue([this] { return this->readyStatus() == 200; }));
-    }
-
-    auto stopFront() -> void
-    {
-        if (this->thread == nullptr)
-            return;
-        this->thread->run([this] { this->front.reset(); });
-        this->thread.reset();
-    }
-
-    auto readyStatus() -> std::uint32_t
-    {
-        auto client = TestClient(this->addresses.ready);
-        client.send("GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n");
-        const auto response = client.receive();
-        return response ? response->status : 0;
-    }
-
-    // One request on a connection of its own.
-    auto ask(const std::string &target, const std::string &method = "GET",
-             const std::string &id = {}) -> HttpMessage
-    {
-        auto client = TestClient(this->addresses.caller);
-        client.send(this->requestText(target, method, id));
-        return client.receive().value_or(HttpMessage());
-    }
-
-    auto requestText(const std::string &target, const std::string &method, std::string id)
-            -> std::string
-    {
-        if (id.empty())
-            id = "id-" + std::to_string(++this->lastId);
-        return callerRequestText(method, target, id, 2000);
-    }
-
-    // The leaf whose receipt an answer bears; empty if none.
-    static auto leafOf(const HttpMessage &response) -> std::string
-    {
-        const auto receipt
-                = std::string(findHeader(response, receiptHeader).value_or(std::string_view()));
-        return receipt.substr(0, receipt.find('.'));
-    }
-
-    Worker worker;
-    RunLedger ledger;
-    std::unique_ptr<PlatformStore> store;
-    std::map<std::string, std::unique_ptr<PlatformLeaf>> leafs;
-    std::unique_ptr<MainThread> thread;
-    std::unique_ptr<Front> front;
-    FrontAddresses addresses;
-    int lastId = 0;
-};
-
 } // namespace
 
 SCENARIO("requests go through a front from end to end")
 {
-    auto path = Path();
+    auto path = PlatformPath();
     const auto shards = std::vector<std::string>{"s1", "s2", "s3"};
     for (const auto &shard : shards) {
         path.addLeaf(shard, shard + "-a", "muar-a");
@@ -195,7 +48,7 @@
         {
             const auto response = path.ask("/one/x");
             CHECK(response.status == 200);
-            CHECK(Path::leafOf(response) == "l-a");
+            CHECK(PlatformPath::leafOf(response) == "l-a");
         }
         THEN("without a matching route there is 404")
         {
@@ -230,7 +83,7 @@
         THEN("the other one runs it")
         {
             CHECK(response.status == 200);
-            CHECK(Path::leafOf(response) == "l-b");
+            CHECK(PlatformPath::leafOf(response) == "l-b");
         }
     }
     WHEN("all leafs refuse")
@@ -249,8 +102,8 @@
         path.setMode("l-a", PlatformLeafMode::OtherLeaf);
         THEN("requests go to the leaf that is there")
         {
-            CHECK(Path::leafOf(path.ask("/one/x")) == "l-b");
-            CHECK(Path::leafOf(path.ask("/pay/x", "POST")) == "l-b");
+            CHECK(PlatformPath::leafOf(path.ask("/one/x")) == "l-b");
+            CHECK(PlatformPath::leafOf(path.ask("/pay/x", "POST")) == "l-b");
         }
     }
     WHEN("a shard's leafs are silent")
@@ -266,19 +119,19 @@
     }
     WHEN("a leaf drains")
     {
-        REQUIRE(Path::leafOf(path.ask("/one/x")) == "l-a");
-        path.drain("ledger", "l-a", "muar-a");
+        REQUIRE(PlatformPath::leafOf(path.ask("/one/x")) == "l-a");
+        path.enterLeaf("l-a", {"ledger", {}, "muar-a", true});
         THEN("soon it gets nothing more")
         {
-            CHECK(awaitTrue([&] { return Path::leafOf(path.ask("/one/x")) == "l-b"; }));
+            CHECK(awaitTrue([&] { return PlatformPath::leafOf(path.ask("/one/x")) == "l-b"; }));
         }
     }
     WHEN("a failure domain is evacuated and taken back")
     {
         path.worker.run([&] { path.store->put(evacuationKind, "muar-a", Json::object()); });
-        CHECK(awaitTrue([&] { return Path::leafOf(path.ask("/one/x")) == "l-b"; }));
+        CHECK(awaitTrue([&] { return PlatformPath::leafOf(path.ask("/one/x")) == "l-b"; }));
         path.worker.run([&] { path.store->remove(evacuationKind, "muar-a"); });
-        CHECK(awaitTrue([&] { return Path::leafOf(path.ask("/one/x")) == "l-a"; }));
+        CHECK(awaitTrue([&] { return PlatformPath::leafOf(path.ask("/one/x")) == "l-a"; }));
     }
     WHEN("a newer desired state drops a route")
     {
@@ -342,16 +195,11 @@
 
 SCENARIO("a front that starts while the store is away")
 {
-    auto path = Path();
+    auto path = PlatformPath();
     path.addLeaf("ledger", "l-a", "muar-a");
     path.configure(3, {singleRoute("/one/", true)});
     path.worker.run([&] { path.store->setAvailability(PlatformAvailability::Busy); });
-    path.thread = std::make_unique<MainThread>("front");
-    path.thread->run([&] {
-        path.front = std::get<std::unique_ptr<Front>>(
-                Front::start(path.settings(), platform::makeCodec(), path.thread->context()));
-        path.addresses = path.front->addresses();
-    });
+    path.launchFront();
     THEN("it isn't ready and refuses requests as not run, until the store is back")
     {
         CHECK(path.readyStatus() == 503);
