End a reactor's timer with its owner

Cause: the sanitizers, run on the platform's path for the first time, found that a reactor asked a listener, and the soak a fault proxy, for its next wake time after its end (front_listener, soak_short). A timer could not be taken back.

Ruled out: the shipped program, which ends its tasks and its reactor together after the loop; sockets, which are forgotten.

Change: addTimer returns a handle that ends the timer. It may end in the timer's own function or in that of another one.

--- a/front/forwardtask.cpp
+++ b/front/forwardtask.cpp
@@ -9,10 +9,10 @@
 ForwardTask::ForwardTask(Reactor &reactor, const ForwarderSettings &settings, Perform perform)
     : reactor(reactor)
     , perform(std::move(perform))
+    , timer(reactor.addTimer([this] { return nextWake(this->forwarder); },
+                             [this] { this->take(ForwarderTick()); }))
 {
     configure(this->forwarder, settings);
-    reactor.addTimer([this] { return nextWake(this->forwarder); },
-                     [this] { this->take(ForwarderTick()); });
 }
 
 auto ForwardTask::post(ForwardEvent &&event) -> void
--- a/front/forwardtask.h
+++ b/front/forwardtask.h
@@ -28,6 +28,7 @@
     Perform perform;
     forward::Forwarder forwarder;
     std::vector<forward::ForwardAction> actions;
+    TimerHandle timer;
 };
 
 } // namespace crocusreach
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -45,9 +45,9 @@
                                         this->answerAdmin(caller, request, this->adminListener);
                                     },
                                     [](CallerId) {}})
-{
-    this->reactor.addTimer([this] { return this->nextStopCheck; }, [this] { this->checkStop(); });
-}
+    , stopTimer(this->reactor.addTimer([this] { return this->nextStopCheck; },
+                                       [this] { this->checkStop(); }))
+{ }
 
 auto Front::start(const FrontSettings &settings, FrontCodec codec, GMainContext *context)
         -> Result<std::unique_ptr<Front>>
--- a/front/front.h
+++ b/front/front.h
@@ -78,6 +78,7 @@
     SeedTask seed;
     HttpListener readyListener;
     HttpListener adminListener;
+    TimerHandle stopTimer;
 };
 
 } // namespace crocusreach
--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -38,9 +38,8 @@
 HttpListener::HttpListener(Reactor &reactor, HttpListenerEvents events)
     : reactor(reactor)
     , events(std::move(events))
-{
-    reactor.addTimer([this] { return this->nextCheck; }, [this] { this->checkTimes(); });
-}
+    , timer(reactor.addTimer([this] { return this->nextCheck; }, [this] { this->checkTimes(); }))
+{ }
 
 HttpListener::~HttpListener()
 {
--- a/front/httplistener.h
+++ b/front/httplistener.h
@@ -102,6 +102,7 @@
     std::uint64_t lastId = 0;
     bool closing = false;
     std::optional<TimePoint> nextCheck;
+    TimerHandle timer;
 };
 
 } // namespace crocusreach
--- a/front/reactor.cpp
+++ b/front/reactor.cpp
@@ -87,9 +87,25 @@
     this->queue.push_back(std::move(message));
 }
 
-auto Reactor::addTimer(WakeTime wakeTime, std::function<auto()->void> onWake) -> void
+TimerHandle::~TimerHandle()
 {
-    this->timers.push_back({std::move(wakeTime), std::move(onWake)});
+    if (this->id != 0)
+        this->reactor->removeTimer(this->id);
+}
+
+auto Reactor::addTimer(WakeTime wakeTime, std::function<auto()->void> onWake) -> TimerHandle
+{
+    this->timers.push_back({++this->lastTimer, std::move(wakeTime), std::move(onWake)});
+    return {*this, this->lastTimer};
+}
+
+// A timer may be removed by its own function or by that of another one.
+auto Reactor::removeTimer(std::uint64_t id) -> void
+{
+    const auto found = std::find_if(this->timers.begin(), this->timers.end(),
+                                    [id](const Timer &timer) { return timer.id == id; });
+    if (found != this->timers.end())
+        found->id = 0;
 }
 
 // Milliseconds until the earliest wake time; -1 if there is none.
@@ -99,7 +115,7 @@
         return 0;
     auto earliest = std::optional<TimePoint>();
     for (const auto &timer : this->timers) {
-        const auto wake = timer.wakeTime();
+        const auto wake = timer.id == 0 ? std::nullopt : timer.wakeTime();
         if (wake)
             earliest = std::min(earliest.value_or(TimePoint::max()), *wake);
     }
@@ -137,6 +153,7 @@
     this->dispatchTimers();
     this->drain();
     this->forgotten.clear();
+    std::erase_if(this->timers, [](const Timer &timer) { return timer.id == 0; });
 }
 
 auto Reactor::dispatchSockets() -> void
@@ -159,7 +176,7 @@
 {
     const auto now = decisionNow();
     for (const auto &timer : this->timers) {
-        const auto wake = timer.wakeTime();
+        const auto wake = timer.id == 0 ? std::nullopt : timer.wakeTime();
         if (wake && *wake <= now)
             timer.onWake();
     }
--- a/front/reactor.h
+++ b/front/reactor.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -53,6 +54,35 @@
     bool broken = false; // reported whether waited for or not
 };
 
+class Reactor;
+
+// A wake time that a task has registered. Ends with the handle, which the reactor must outlive.
+class TimerHandle
+{
+public:
+    TimerHandle(Reactor &reactor, std::uint64_t id)
+        : reactor(&reactor)
+        , id(id)
+    { }
+    TimerHandle(TimerHandle &&other) noexcept
+        : reactor(other.reactor)
+        , id(std::exchange(other.id, 0))
+    { }
+    auto operator=(TimerHandle &&other) noexcept -> TimerHandle &
+    {
+        std::swap(this->reactor, other.reactor);
+        std::swap(this->id, other.id);
+        return *this;
+    }
+    TimerHandle(const TimerHandle &) = delete;
+    auto operator=(const TimerHandle &) -> TimerHandle & = delete;
+    ~TimerHandle();
+
+private:
+    Reactor *reactor;
+    std::uint64_t id; // 0: none
+};
+
 // Tasks register with a reactor and run in its thread only.
 class Reactor
 {
@@ -75,10 +105,14 @@
     // Runs a function in a later turn of the loop's queue, in order.
     auto post(std::function<auto()->void> message) -> void;
 
-    // Calls onWake whenever the wake time has come. The time is asked for before each wait.
-    auto addTimer(WakeTime wakeTime, std::function<auto()->void> onWake) -> void;
+    // Calls onWake whenever the wake time has come, as long as the handle is there. The time is
+    // asked for before each wait.
+    [[nodiscard]] auto addTimer(WakeTime wakeTime, std::function<auto()->void> onWake)
+            -> TimerHandle;
 
 private:
+    friend TimerHandle;
+
     struct Watch
     {
         int descriptor = -1;
@@ -88,11 +122,13 @@
     };
     struct Timer
     {
+        std::uint64_t id = 0; // 0: removed
         WakeTime wakeTime;
         std::function<auto()->void> onWake;
     };
     struct Source; // GSource with a pointer to the reactor
 
+    auto removeTimer(std::uint64_t id) -> void;
     auto waitTime() const -> gint;
     auto dispatch() -> void;
     auto dispatchSockets() -> void;
@@ -106,7 +142,8 @@
     FileHandle epoll;
     std::unordered_map<int, std::unique_ptr<Watch>> watches;
     std::vector<std::unique_ptr<Watch>> forgotten; // freed once no event can refer to them
-    std::vector<Timer> timers;
+    std::list<Timer> timers; // one that is removed stays until the end of the turn
+    std::uint64_t lastTimer = 0;
     std::vector<std::function<auto()->void>> queue;
     SourceHandle source;
 };
--- a/front/seedtask.cpp
+++ b/front/seedtask.cpp
@@ -38,9 +38,8 @@
                         return call.caller == caller;
                     });
                 }})
-{
-    reactor.addTimer([this] { return this->nextEnd(); }, [this] { this->checkTimes(); });
-}
+    , timer(reactor.addTimer([this] { return this->nextEnd(); }, [this] { this->checkTimes(); }))
+{ }
 
 auto SeedTask::open(std::string_view address) -> Result<std::string>
 {
--- a/front/seedtask.h
+++ b/front/seedtask.h
@@ -53,6 +53,7 @@
     Source source;
     std::vector<WaitingCall> waiting;
     HttpListener listener;
+    TimerHandle timer;
 };
 
 } // namespace crocusreach
--- a/front/storereadertask.cpp
+++ b/front/storereadertask.cpp
@@ -41,11 +41,11 @@
              [this](std::uint64_t link, LinkFailure) { this->onClosed(link); },
              [this](std::uint64_t link) { this->onClosed(link); },
              [](const HttpMessage &, std::string_view) { return true; }})
-{
-    reactor.addTimer([this] { return this->nextEnd(); }, [this] { this->checkTimes(); });
-    reactor.addTimer([this] { return nextWake(this->reader); },
-                     [this] { this->take(StoreReaderTick()); });
-}
+    , callTimer(
+              reactor.addTimer([this] { return this->nextEnd(); }, [this] { this->checkTimes(); }))
+    , readerTimer(reactor.addTimer([this] { return nextWake(this->reader); },
+                                   [this] { this->take(StoreReaderTick()); }))
+{ }
 
 auto StoreReaderTask::configure(const StoreReaderSettings &settings, std::string newAddress) -> void
 {
--- a/front/storereadertask.h
+++ b/front/storereadertask.h
@@ -70,6 +70,8 @@
     std::uint64_t lastLink = 0;
     std::uint64_t calls = 0;
     HttpLinks links;
+    TimerHandle callTimer;
+    TimerHandle readerTimer;
 };
 
 } // namespace crocusreach
--- a/soak/faultproxy.cpp
+++ b/soak/faultproxy.cpp
@@ -12,11 +12,11 @@
     : reactor(reactor)
     , target(std::move(target))
     , listener(std::get<FileHandle>(listenTcp("127.0.0.1:0")))
+    , timer(reactor.addTimer([this] { return this->nextRelease(); }, [this] { this->release(); }))
 {
     this->listenAddress = localAddress(this->listener.get());
     reactor.watch(this->listener.get(), {true, false, false},
                   [this](Readiness) { this->acceptAll(); });
-    reactor.addTimer([this] { return this->nextRelease(); }, [this] { this->release(); });
 }
 
 FaultProxy::~FaultProxy()
--- a/soak/faultproxy.h
+++ b/soak/faultproxy.h
@@ -64,6 +64,7 @@
     Duration delay = {};
     std::map<std::uint64_t, std::unique_ptr<Pipe>> pipes;
     std::uint64_t lastId = 0;
+    TimerHandle timer;
 };
 
 } // namespace crocusreach::soak
