Harm the callers' connections in the soak

Cause: the soak harmed the connections to leafs and to the store, but callers reached the fronts directly, so that a caller that is silenced, delayed or cut one way was never played.

Ruled out: closing the callers' own sockets, which a front sees at once.

Change: callers reach each front through a proxy of its own, whose connections are delayed, cut one way, silenced or refused like those of a leaf, and reset at the end.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -76,6 +76,7 @@
     ~Surroundings()
     {
         this->proxies.run([this] {
+            this->frontProxies.clear();
             this->storeProxy.reset();
             for (auto &[id, leaf] : this->leafs)
                 leaf.proxy.reset();
@@ -140,6 +141,15 @@
         });
     }
 
+    // Callers reach a front through a proxy of its own.
+    auto addFrontProxy(const std::string &address) -> void
+    {
+        this->proxies.run([&] {
+            this->frontProxies.push_back(
+                    std::make_unique<FaultProxy>(this->proxies.reactor(), address));
+        });
+    }
+
     auto pickLeaf() -> std::pair<const std::string, SoakLeaf> &
     {
         auto picked = this->leafs.begin();
@@ -154,6 +164,7 @@
     tests::ReactorThread proxies;
     std::unique_ptr<PlatformStore> store;
     std::unique_ptr<FaultProxy> storeProxy;
+    std::vector<std::unique_ptr<FaultProxy>> frontProxies; // in the order of the fronts
     std::map<std::string, SoakLeaf> leafs;
     int version = 1;
     int currentSet = 0;
@@ -222,6 +233,22 @@
     };
 }
 
+// Harms the connections of one proxy, and resets them at the end.
+auto harmLink(Surroundings &world, FaultProxy &proxy, const std::string &name) -> EndFault
+{
+    const auto faults = std::to_array(
+            {LinkFault::Delay, LinkFault::OneWay, LinkFault::Silent, LinkFault::Refuse});
+    const auto fault = faults.at(world.random() % faults.size());
+    std::cout << name << " link fault " << static_cast<int>(fault) << '\n';
+    world.proxies.run([&] { proxy.setFault(fault, 100ms); });
+    return [&world, &proxy] {
+        world.proxies.run([&] {
+            proxy.setFault(LinkFault::None);
+            proxy.resetConnections();
+        });
+    };
+}
+
 auto harmLeaf(Surroundings &world) -> EndFault
 {
     auto &picked = world.pickLeaf();
@@ -238,17 +265,14 @@
             world.enter(id);
         };
     }
-    const auto faults = std::to_array(
-            {LinkFault::Delay, LinkFault::OneWay, LinkFault::Silent, LinkFault::Refuse});
-    const auto fault = faults.at(world.random() % faults.size());
-    std::cout << "leaf " << id << " link fault " << static_cast<int>(fault) << '\n';
-    world.proxies.run([&] { leaf.proxy->setFault(fault, 100ms); });
-    return [&world, &leaf] {
-        world.proxies.run([&] {
-            leaf.proxy->setFault(LinkFault::None);
-            leaf.proxy->resetConnections();
-        });
-    };
+    return harmLink(world, *leaf.proxy, "leaf " + id);
+}
+
+auto harmCallers(Surroundings &world) -> EndFault
+{
+    const auto number = world.random() % world.frontProxies.size();
+    return harmLink(world, *world.frontProxies[number],
+                    "callers of front " + std::to_string(number));
 }
 
 auto changeState(Surroundings &world) -> EndFault
@@ -294,10 +318,11 @@
     const auto end = std::chrono::steady_clock::now() + time;
     auto running = std::vector<std::pair<std::chrono::steady_clock::time_point, EndFault>>();
     while (std::chrono::steady_clock::now() < end) {
-        const auto kind = world.random() % 4;
+        const auto kind = world.random() % 5;
         auto endFault = kind == 0   ? harmFront(fleet, world.random)
                         : kind == 1 ? harmStore(world)
                         : kind == 2 ? harmLeaf(world)
+                        : kind == 3 ? harmCallers(world)
                                     : changeState(world);
         const auto duration = std::chrono::milliseconds(500 + world.random() % 3000);
         running.emplace_back(std::chrono::steady_clock::now() + duration, std::move(endFault));
@@ -415,10 +440,12 @@
         stopAll(fleet);
         return findings;
     }
+    for (const auto &front : fleet.fronts)
+        world.addFrontProxy(callerAddress(fleet, front));
     auto turn = std::atomic<std::size_t>(0);
     auto callers = Callers(
             FLAGS_callers, seed,
-            [&] { return callerAddress(fleet, fleet.fronts[turn++ % fleet.fronts.size()]); },
+            [&] { return world.frontProxies[turn++ % world.frontProxies.size()]->address(); },
             world.ledger, world.shardSets);
     playFaults(world, fleet, std::chrono::seconds(FLAGS_seconds));
     append(findings, checkRecovery(world, fleet));
