Don't use a connection after its answer has ended it

Cause: a listener whose request is answered at once (a seed's objects, the ready and metrics pages, a request that can't be read) went on with the connection after the answer. If the other side had reset it meanwhile, the answer had ended it, and the process ended with unordered_map::at.

Ruled out: callers' requests, whose answers come by a message; the links to leafs, which look their connection up again.

Change: the listener looks the connection up again after the request was handed on. Besides, a store call that fails while it is being made waits until the actions at hand are done; it could have sent a later one of them to the seed that had just been left.

--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -86,15 +86,28 @@
 auto HttpListener::onSocket(CallerId id, Readiness readiness) -> void
 {
     auto &connection = *this->connections.at(id);
-    if ((readiness.readable || readiness.broken) && !this->readInput(connection)) {
-        const auto answering = connection.phase == Phase::Answering;
-        this->drop(id);
-        if (answering)
-            this->events.callerLeft(id);
-        return;
+    if (readiness.readable || readiness.broken) {
+        if (!this->readInput(connection))
+            return this->lose(id);
+        if (connection.phase == Phase::Reading)
+            this->parseInput(connection);
     }
-    if (readiness.writable && !this->write(connection))
-        this->drop(id);
+    // A request that was answered at once may have ended its connection.
+    const auto found = this->connections.find(id);
+    if (found == this->connections.end())
+        return;
+    if (readiness.writable && !this->write(*found->second))
+        return this->lose(id);
+    this->updateWanted(*found->second);
+}
+
+// The caller has ended the connection.
+auto HttpListener::lose(CallerId id) -> void
+{
+    const auto answering = this->connections.at(id)->phase == Phase::Answering;
+    this->drop(id);
+    if (answering)
+        this->events.callerLeft(id);
 }
 
 // False if the connection has ended.
@@ -105,9 +118,6 @@
         return false;
     if (connection.phase == Phase::Closing)
         connection.input.clear();
-    if (connection.phase == Phase::Reading)
-        this->parseInput(connection);
-    this->updateWanted(connection);
     return true;
 }
 
--- a/front/httplistener.h
+++ b/front/httplistener.h
@@ -85,7 +85,9 @@
 
     auto acceptAll() -> void;
     auto onSocket(CallerId id, Readiness readiness) -> void;
+    auto lose(CallerId id) -> void;
     auto readInput(Connection &connection) -> bool;
+    // The connection may have ended afterwards.
     auto parseInput(Connection &connection) -> void;
     auto invite(Connection &connection) -> void;
     auto refuse(Connection &connection) -> void;
--- a/front/storereadertask.cpp
+++ b/front/storereadertask.cpp
@@ -65,9 +65,16 @@
 
 auto StoreReaderTask::take(const StoreEvent &event) -> void
 {
-    auto actions = std::vector<StoreReaderAction>();
-    handle(this->reader, event, decisionNow(), actions);
-    this->perform(actions);
+    this->events.push_back(event);
+    if (this->handling)
+        return;
+    this->handling = true;
+    for (; !this->events.empty(); this->events.pop_front()) {
+        auto actions = std::vector<StoreReaderAction>();
+        handle(this->reader, this->events.front(), decisionNow(), actions);
+        this->perform(actions);
+    }
+    this->handling = false;
     this->onChanged();
 }
 
--- a/front/storereadertask.h
+++ b/front/storereadertask.h
@@ -6,6 +6,7 @@
 #include "reactor.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -51,6 +52,7 @@
     auto abandonObjectCalls() -> void;
     auto reply(const Line &line, forward::StoreReplyContent content,
                std::optional<Duration> storeAge) -> void;
+    // A call may fail while the actions of an event are performed. Its event waits for their end.
     auto take(const forward::StoreEvent &event) -> void;
     auto perform(std::vector<forward::StoreReaderAction> &actions) -> void;
     auto onAnswered(std::uint64_t link, const HttpMessage &response, bool usable) -> void;
@@ -66,6 +68,8 @@
     std::string address; // of the store
     forward::StoreReader reader;
     bool started = false;
+    std::deque<forward::StoreEvent> events; // the first one is being handled
+    bool handling = false;
     std::array<Line, forward::storeChannels> lines;
     std::uint64_t lastLink = 0;
     std::uint64_t calls = 0;
--- a/tests/front_listener.cpp
+++ b/tests/front_listener.cpp
@@ -24,6 +24,8 @@
                     HttpListenerEvents{[this](CallerId caller, HttpMessage &&request) {
                                            this->requests.push_back(request);
                                            ++this->arrived;
+                                           if (this->beforeAnswer)
+                                               this->beforeAnswer();
                                            if (request.target != "/wait")
                                                this->listener->respond(caller, 200, {},
                                                                        request.target);
@@ -55,6 +57,7 @@
     CallerId waiting = {};
     std::atomic<int> arrived = 0;
     std::atomic<int> left = 0;
+    std::function<auto()->void> beforeAnswer; // in the reactor's thread
 };
 
 } // namespace
@@ -72,6 +75,21 @@
             CHECK(client.receive().value().body == "/2");
         }
     }
+    WHEN("the caller resets the connection while its request is answered at once")
+    {
+        bench.beforeAnswer = [&client] { client.reset(); };
+        client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        THEN("others are served")
+        {
+            // Guards against the use of a connection that the failed answer has ended, which ended
+            // the process (soak, seed 5603).
+            REQUIRE(awaitTrue([&] { return bench.arrived == 1; }));
+            bench.thread.run([&] { bench.beforeAnswer = nullptr; });
+            auto other = TestClient(bench.address);
+            other.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+            CHECK(other.receive().value().body == "/2");
+        }
+    }
     WHEN("a body comes in chunks and pieces")
     {
         client.send("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
--- a/tests/testclient.cpp
+++ b/tests/testclient.cpp
@@ -29,6 +29,12 @@
     }
 }
 
+auto TestClient::reset() -> void
+{
+    resetOnClose(this->socket.get());
+    this->close();
+}
+
 auto TestClient::readMore(std::chrono::milliseconds patience) -> bool
 {
     auto entry = pollfd{this->socket.get(), POLLIN, 0};
--- a/tests/testclient.h
+++ b/tests/testclient.h
@@ -21,6 +21,8 @@
     auto send(std::string_view bytes) -> void;
     // Closes the connection without reading what is there.
     auto close() -> void { this->socket = FileHandle(); }
+    // Closes it with a reset, which the other side meets at its next read or write.
+    auto reset() -> void;
     // The next response; absent if the connection ends or nothing comes in time.
     auto receive(std::chrono::milliseconds patience = std::chrono::seconds(10))
             -> std::optional<HttpMessage>;
