--- a/base/mailbox.cpp
+++ b/base/mailbox.cpp
@@ -1,6 +1,6 @@
 #include "mailbox.h"
 
-#include <condition_variable>
+#include <future>
 
 namespace crocusreach {
 
@@ -27,29 +27,20 @@
 
 auto MainThread::run(const std::function<auto()->void> &function) -> void
 {
-    struct Call
-    {
-        const std::function<auto()->void> &function;
-        std::mutex mutex;
-        std::condition_variable ended;
-        bool done = false;
-    };
-    auto call = Call{function, {}, {}, false};
+    if (std::this_thread::get_id() == this->thread.get_id())
+        return function();
+    // Not g_main_context_invoke(), which runs the function here if the loop has not started yet.
+    auto task = std::packaged_task<void()>(function);
     auto *source = g_idle_source_new();
     g_source_set_priority(source, G_PRIORITY_DEFAULT);
     const auto invoke = [](gpointer data) -> gboolean {
-        auto &pending = *static_cast<Call *>(data);
-        pending.function();
-        const auto lock = std::lock_guard(pending.mutex);
-        pending.done = true;
-        pending.ended.notify_all();
+        (*static_cast<std::packaged_task<void()> *>(data))();
         return G_SOURCE_REMOVE;
     };
-    g_source_set_callback(source, invoke, &call, nullptr);
+    g_source_set_callback(source, invoke, &task, nullptr);
     g_source_attach(source, this->mainContext.get());
     g_source_unref(source);
-    auto lock = std::unique_lock(call.mutex);
-    call.ended.wait(lock, [&] { return call.done; });
+    task.get_future().get();
 }
 
 auto MainThread::stop() -> void
--- a/base/mailbox.h
+++ b/base/mailbox.h
@@ -92,7 +92,8 @@
     ~MainThread() { this->stop(); }
 
     auto context() const -> GMainContext * { return this->mainContext.get(); }
-    // Runs a function in the thread and waits for its end.
+    // Runs a function in the thread and waits for its end. What it throws is thrown here. May be
+    // called in the thread itself.
     auto run(const std::function<auto()->void> &function) -> void;
     // Ends the loop and joins the thread. Further calls do nothing.
     auto stop() -> void;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -160,7 +160,7 @@
     std::mt19937 random;
     RunLedger ledger;
     NamedShardSets shardSets;
-    Worker worker;
+    MainThread worker = MainThread("standins");
     tests::ReactorThread proxies;
     std::unique_ptr<PlatformStore> store;
     std::unique_ptr<FaultProxy> storeProxy;
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "worker.h"
+#include "sources.h"
 
 #include <libsoup/soup.h>
 
--- /dev/null
+++ b/standins/sources.cpp
@@ -0,0 +1,45 @@
+#include "sources.h"
+
+namespace crocusreach::standins {
+
+Source::Source(GSource *created, std::function<auto()->void> function)
+    : source(created)
+{
+    using Function = std::function<auto()->void>;
+    g_source_set_callback(
+            created,
+            [](gpointer data) -> gboolean {
+                (*static_cast<Function *>(data))();
+                return G_SOURCE_CONTINUE;
+            },
+            new Function(std::move(function)),
+            [](gpointer data) { delete static_cast<Function *>(data); });
+    g_source_attach(created, g_main_context_get_thread_default());
+}
+
+Source::~Source()
+{
+    if (this->source == nullptr)
+        return;
+    g_source_destroy(this->source);
+    g_source_unref(this->source);
+}
+
+auto callAfter(std::int64_t delay, std::function<auto()->void> function) -> Source
+{
+    static auto functions
+            = GSourceFuncs{nullptr,
+                           nullptr,
+                           [](GSource *source, GSourceFunc callback, gpointer data) -> gboolean {
+                               g_source_set_ready_time(source, -1);
+                               return callback(data);
+                           },
+                           nullptr,
+                           nullptr,
+                           nullptr};
+    auto *timer = g_source_new(&functions, sizeof(GSource));
+    g_source_set_ready_time(timer, g_get_monotonic_time() + delay);
+    return {timer, std::move(function)};
+}
+
+} // namespace crocusreach::standins
--- a/standins/standins.h
+++ b/standins/standins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/mailbox.h"
 #include "core/configuration.h"
 #include "instancelist.h"
 #include "objectstore.h"
@@ -54,8 +55,8 @@
     auto handleControl(const ExchangePtr &exchange) -> void;
 
     Targets allTargets;
-    Worker platformWorker;
-    Worker controlWorker;
+    MainThread platformWorker = MainThread("platform");
+    MainThread controlWorker = MainThread("control");
     std::unique_ptr<ObjectStore> store;
     std::unique_ptr<InstanceList> list;
     std::unique_ptr<HttpServer> control;
--- a/standins/targets.cpp
+++ b/standins/targets.cpp
@@ -280,7 +280,7 @@
     : seed(seed)
 {
     for (auto index = std::size_t(0); index < std::max<std::size_t>(threads, 1); ++index)
-        this->workers.push_back(std::make_unique<Worker>());
+        this->workers.push_back(std::make_unique<MainThread>("targets"));
 }
 
 Targets::Stop::~Stop()
--- a/standins/targets.h
+++ b/standins/targets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/mailbox.h"
 #include "httpserver.h"
 
 #include <cstdint>
@@ -168,7 +169,7 @@
         ~Stop();
     };
 
-    std::vector<std::unique_ptr<Worker>> workers;
+    std::vector<std::unique_ptr<MainThread>> workers;
     std::map<std::string, Entry> targets;
     std::uint64_t seed;
     std::size_t added = 0;
--- a/tests/platformpath.h
+++ b/tests/platformpath.h
@@ -146,7 +146,7 @@
         return receipt.substr(0, receipt.find('.'));
     }
 
-    Worker worker;
+    MainThread worker = MainThread("standins");
     RunLedger ledger;
     std::unique_ptr<PlatformStore> store;
     std::map<std::string, std::unique_ptr<PlatformLeaf>> leafs;
