Let the stand-ins use base's owners of GLib objects and sources

Cause: standins/sources held second copies of ObjectPtr and of the moves and the end of a source.

Change: gobject.h moves from runtime/ to base/, and a stand-in's Source holds base's SourceHandle. No behaviour is changed.

--- a/ctl/apicall.cpp
+++ b/ctl/apicall.cpp
@@ -1,6 +1,6 @@
 #include "apicall.h"
 
-#include "runtime/gobject.h"
+#include "base/gobject.h"
 
 #include <libsoup/soup.h>
 
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -1,13 +1,13 @@
 #include "commands.h"
 
 #include "apicall.h"
+#include "base/gobject.h"
 #include "files.h"
 #include "formats/configurationjson.h"
 #include "formats/requestlog.h"
 #include "formats/settings.h"
 #include "formats/sheetcsv.h"
 #include "inforce.h"
-#include "runtime/gobject.h"
 #include "text.h"
 
 #include <algorithm>
--- a/runtime/adminanswers.cpp
+++ b/runtime/adminanswers.cpp
@@ -1,10 +1,10 @@
 #include "adminanswers.h"
 
+#include "base/gobject.h"
 #include "core/text.h"
 #include "formats/adminmessages.h"
 #include "formats/configurationjson.h"
 #include "formats/sheetcsv.h"
-#include "gobject.h"
 
 #include <algorithm>
 #include <iterator>
--- a/runtime/adminserver.h
+++ b/runtime/adminserver.h
@@ -3,9 +3,9 @@
 #include "adminanswers.h"
 #include "adminroutes.h"
 #include "admintask.h"
+#include "base/gobject.h"
 #include "base/mailbox.h"
 #include "core/administration.h"
-#include "gobject.h"
 #include "objectapi.h"
 
 #include <libsoup/soup.h>
--- a/runtime/fronttask.h
+++ b/runtime/fronttask.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/gobject.h"
 #include "base/mailbox.h"
 #include "core/query.h"
-#include "gobject.h"
 
 #include <libsoup/soup.h>
 
--- a/runtime/httplisten.cpp
+++ b/runtime/httplisten.cpp
@@ -1,7 +1,7 @@
 #include "httplisten.h"
 
+#include "base/gobject.h"
 #include "core/text.h"
-#include "gobject.h"
 
 namespace crocusreach {
 
--- a/runtime/storetask.h
+++ b/runtime/storetask.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/gobject.h"
 #include "base/mailbox.h"
 #include "core/control.h"
 #include "embeddedstore.h"
-#include "gobject.h"
 #include "objectapi.h"
 
 #include <libsoup/soup.h>
--- a/runtime/targetreply.cpp
+++ b/runtime/targetreply.cpp
@@ -1,7 +1,7 @@
 #include "targetreply.h"
 
+#include "base/gobject.h"
 #include "core/text.h"
-#include "gobject.h"
 
 #include <nlohmann/json.hpp>
 
--- a/standins/sources.cpp
+++ b/standins/sources.cpp
@@ -3,7 +3,7 @@
 namespace crocusreach::standins {
 
 Source::Source(GSource *created, std::function<auto()->void> function)
-    : source(created)
+    : handle(created)
 {
     using Function = std::function<auto()->void>;
     g_source_set_callback(
@@ -17,14 +17,6 @@
     g_source_attach(created, g_main_context_get_thread_default());
 }
 
-Source::~Source()
-{
-    if (this->source == nullptr)
-        return;
-    g_source_destroy(this->source);
-    g_source_unref(this->source);
-}
-
 auto callAfter(std::int64_t delay, std::function<auto()->void> function) -> Source
 {
     static auto functions
--- a/standins/sources.h
+++ b/standins/sources.h
@@ -1,25 +1,17 @@
 #pragma once
 
-#include <glib-object.h>
+#include "base/gobject.h"
+#include "base/mailbox.h"
+
 #include <glib.h>
 
 #include <cstdint>
 #include <functional>
-#include <memory>
-#include <utility>
 
-// Timers, and owners of GLib objects.
+// Sources of a main context that call functions.
 
 namespace crocusreach::standins {
 
-struct ObjectUnref
-{
-    auto operator()(gpointer object) const -> void { g_object_unref(object); }
-};
-
-template <typename T>
-using ObjectPtr = std::unique_ptr<T, ObjectUnref>;
-
 // A source that is removed from its main context when the handle goes. The function and what it
 // captured live until it returns, also if it drops the handle.
 class Source
@@ -28,20 +20,9 @@
     Source() = default;
     // Takes the reference and attaches the source to the thread's default main context.
     Source(GSource *created, std::function<auto()->void> function);
-    Source(Source &&other) noexcept
-        : source(std::exchange(other.source, nullptr))
-    { }
-    auto operator=(Source &&other) noexcept -> Source &
-    {
-        std::swap(this->source, other.source);
-        return *this;
-    }
-    Source(const Source &) = delete;
-    auto operator=(const Source &) -> Source & = delete;
-    ~Source();
 
 private:
-    GSource *source = nullptr; // owned
+    SourceHandle handle;
 };
 
 // Calls a function once, after a delay in microseconds.
