Cut operators' texts in the log, and explain two constants better

Cause: reading the change again as a newcomer. The name in event 213 came from the path of the call in full, and two comments needed the code to be understood.

Change: the name is cut like the change id; the comments say what the parser does and when a follower returns.

--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -26,8 +26,8 @@
 constexpr Duration askedMemory = std::chrono::seconds(5);
 // After all seeds have failed, the store is watched for this time.
 constexpr Duration storeTime = std::chrono::seconds(4);
-// An instance whose own seed has failed tries it again after between this time and twice of it.
-// Otherwise all instances end up at the seed that has failed least often.
+// An instance whose own seed has failed tries it again after one to two times this time. Otherwise
+// all instances end up at the seed that has failed least often.
 constexpr Duration seedReturnTime = std::chrono::seconds(30);
 // Up to this number of instances, all of them watch the store themselves: it bears that, and
 // nothing depends on another instance.
--- a/front/httpmessage.cpp
+++ b/front/httpmessage.cpp
@@ -81,7 +81,8 @@
     if (!isValue && this->lastWasValue)
         this->message.headers.emplace_back();
     auto &header = this->message.headers.back();
-    // The parser also takes a name for this one that only begins so.
+    // The parser sets this for each name that begins with Transfer-Encoding, and then refuses a
+    // Content-Length beside it.
     if (isValue && !this->lastWasValue) {
         this->hasEncoding = this->hasEncoding || sameHeaderName(header.name, "Transfer-Encoding");
         this->parser.uses_transfer_encoding = this->hasEncoding ? 1 : 0;
--- a/runtime/adminserver.cpp
+++ b/runtime/adminserver.cpp
@@ -16,7 +16,8 @@
 
 constexpr std::string_view storedKey = "config/current";
 constexpr std::size_t largestValue = 1 << 20; // bytes of an object in the store
-constexpr std::size_t longestChangeId = 64; // that is valid; the log holds no more of others
+// Characters of an operator's text that the log holds: those of the longest valid change id.
+constexpr std::size_t longestLogged = 64;
 constexpr goffset largestBody = 1 << 20; // bytes
 // On top of a store call's own timeout, so that the store task answers first.
 constexpr auto storeMargin = std::chrono::milliseconds(500);
@@ -154,7 +155,7 @@
                        [](const SetState &set) {
                            return std::string(toString(set.kind))
                                    .append("/")
-                                   .append(set.name)
+                                   .append(set.name, 0, longestLogged)
                                    .append("=")
                                    .append(toString(set.state));
                        }},
@@ -165,7 +166,7 @@
 {
     const auto stored
             = result.status == ChangeStatus::Applied || result.status == ChangeStatus::Unchanged;
-    auto fields = std::vector<LogField>{{"change", change.changeId.substr(0, longestChangeId)},
+    auto fields = std::vector<LogField>{{"change", change.changeId.substr(0, longestLogged)},
                                         {"kind", kindOf(change)},
                                         {"author", change.author},
                                         {"status", std::string(toString(result.status))},
