Give a seed the time to hear from the store before it answers

A seed seeks word from the store only once it is asked, so that its first answer was too old to be believed; all seeds were left in turn, and the store was watched for 4 s.

Ruled out: the return to the own seed, which comes after 30 s at the earliest; the price of other calls, which is unchanged.

Change: a watch at a seed always has the usual wait, 0.9 s. Only the store itself is asked for an answer at once after a failure.

--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -91,8 +91,8 @@
     call.address = sourceAddress(reader);
     const auto kind = static_cast<ObjectKind>(number);
     const auto usualWait = reader.seed ? seedWatchTime : storeWatchTime;
-    const auto isTrial = channel.failures > 0 || (reader.seed && !channel.sourceProven);
-    const auto wait = isTrial ? firstWatchTime : usualWait;
+    // A seed that nobody has asked so far needs the time to hear from the store itself.
+    const auto wait = channel.failures > 0 && !reader.seed ? firstWatchTime : usualWait;
     if (!channel.listed) {
         call.request = ListObjects{kind, channel.continueAfter};
         call.patience = listPatience(channel);
@@ -140,7 +140,6 @@
         if (!channel.listed)
             startListing(reader, number);
         channel.blocked = false;
-        channel.sourceProven = false;
         startCall(reader, number, now, actions);
     }
 }
@@ -240,7 +239,6 @@
     auto &channel = channelAt(reader, number);
     channel.pause = {};
     channel.failures = 0;
-    channel.sourceProven = true;
     if (!reader.seed || !isObjectChannel(number)) {
         reader.provedAt = std::max(reader.provedAt.value_or(TimePoint()), channel.calledAt);
         unblock(reader, now);
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -146,7 +146,6 @@
     bool running = false;
     bool lost = false; // the log was told of a failure
     bool blocked = false; // waits for the success of another channel's call
-    bool sourceProven = true; // the current source has answered on this channel
     std::optional<TimePoint> callAt; // time of the next call
     TimePoint calledAt = {};
     Duration pause = {}; // after the latest failure
