--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -11,7 +11,7 @@
 // The store ends a watch without a change after this time. A connection that died without a sign
 // is found sooner, by the transport's keep-alive.
 constexpr Duration storeWatchTime = std::chrono::seconds(25);
-// After a failure, the source is to answer at once, so that its return is known and the other
+// After a failure, the store is to answer at once, so that its return is known and the other
 // channels go on.
 constexpr Duration firstWatchTime = std::chrono::milliseconds(1);
 // Another instance answers at least this often, so that its failure is found in time: changes must
