Log and count the leafs that say they leave

Cause: a front's log named the registry's entries but not what leafs state in their answers, so that a leaf which leaves unknown to the registry could not be told from one that was known and used all the same.

Change: Server-Leaving is read and kept with the leaf (event 215, counter leaf_leaving); the log says whether its entry stated the same. No decision uses it yet.

--- a/base/log.cpp
+++ b/base/log.cpp
@@ -88,6 +88,8 @@
          "an operator's change is stored"},
         {LogEvent::ChangeRefused, "change_refused", Severity::Warning,
          "an operator's change was not accepted, or its result is not known"},
+        {LogEvent::LeafLeaving, "leaf_leaving", Severity::Info,
+         "a leaf states in its answers that it is about to exit"},
         {LogEvent::PeerLinkOpened, "peer_link_opened", Severity::Info,
          "the stream to a peer is open"},
         {LogEvent::PeerLinkLost, "peer_link_lost", Severity::Warning,
--- a/base/log.h
+++ b/base/log.h
@@ -43,6 +43,7 @@
     SourceChanged = 212,
     ChangeAccepted = 213,
     ChangeRefused = 214,
+    LeafLeaving = 215,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -100,6 +100,21 @@
         recordLatency(*send.stats, latency, now);
 }
 
+// Records that a leaf is about to exit. An answer of another leaf at its address says nothing of
+// it.
+auto recordLeaving(Forwarder &forwarder, const Send &send, const LeafAnswer &answer,
+                   std::string_view requestId, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    auto &leaf = leafAt(forwarder.leafs, send.leaf);
+    if (!answer.leafLeaves || answer.kind == LeafAnswerKind::OtherLeaf || leaf.leavingSince)
+        return;
+    leaf.leavingSince = now;
+    ++forwarder.counters.leavingLeafs;
+    actions.emplace_back(LeafLeaving{leaf.record.id, leaf.record.service, leaf.record.domain,
+                                     std::string(requestId), leaf.record.draining});
+}
+
 auto countAnswer(ForwarderCounters &counters, LeafAnswerKind kind) -> void
 {
     if (kind == LeafAnswerKind::NotRun)
@@ -193,6 +208,10 @@
         reportFailedSend(forwarder, *call->second, send, toRetryReason(event.answer.kind), now,
                          actions);
     recordLeafAnswer(leaf, send, event.answer, now);
+    const auto requestId = call == forwarder.calls.end()
+                                   ? std::string_view()
+                                   : std::string_view(call->second->request->id);
+    recordLeaving(forwarder, send, event.answer, requestId, now, actions);
     recordDomainAnswer(forwarder.reachability, leaf.record.domain, now);
     if (!event.isConnectionReusable || !leaf.listed)
         closeConnection(forwarder, send.connection, actions);
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -69,6 +69,7 @@
     bool statusImpliesNotRun = false;
     std::string receipt; // the leaf's proof that it answered this request; empty if it gave none
     std::optional<ReportedLoad> load;
+    bool leafLeaves = false; // the answering leaf states that it is about to exit
     std::vector<HeaderField> headers; // only those that are forwarded to the caller
     std::string body;
 };
@@ -321,7 +322,17 @@
     bool leafCold = false;
 };
 
+// A leaf stated for the first time that it is about to exit.
+struct LeafLeaving
+{
+    std::string leaf;
+    std::string service;
+    std::string domain; // of the leaf
+    std::string requestId; // of the request that it answered
+    bool drainingInRegistry = false; // its entry states the same
+};
+
 using ForwardAction = std::variant<SendToLeaf, OpenConnection, CloseConnection, AnswerCaller,
-                                   CallEnded, SendRepeated, SendFailureReport>;
+                                   CallEnded, SendRepeated, SendFailureReport, LeafLeaving>;
 
 } // namespace crocusreach::forward
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -120,6 +120,7 @@
     leaf.loadAt = {};
     leaf.failuresInRow = 0;
     leaf.avoidUntil = {};
+    leaf.leavingSince.reset();
 }
 
 } // namespace
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -88,6 +88,7 @@
     TimePoint lastAnswerAt = {}; // the latest successful one
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil = {}; // after failures; until then used only if there is no other
+    std::optional<TimePoint> leavingSince; // the first answer that stated that it is about to exit
     TimePoint coldUntil = {};
     TimePoint nextColdSendAt = {};
 };
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -120,6 +120,9 @@
                           },
                           [](const SendFailureReport &failed) {
                               logEvent(LogEvent::SendFailed, fieldsOf(failed));
+                          },
+                          [](const LeafLeaving &leaving) {
+                              logEvent(LogEvent::LeafLeaving, fieldsOf(leaving));
                           }},
                std::move(action));
 }
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -100,6 +100,15 @@
             {"leaf_cold", yesOrNo(failed.leafCold)}};
 }
 
+auto fieldsOf(const LeafLeaving &leaving) -> std::vector<LogField>
+{
+    return {{"leaf", leaving.leaf},
+            {"service", leaving.service},
+            {"domain", leaving.domain},
+            {"request", leaving.requestId},
+            {"listed_draining", yesOrNo(leaving.drainingInRegistry)}};
+}
+
 auto logLearned(const ForwardEvent &event) -> void
 {
     std::visit(
--- a/tests/platform_exchange.cpp
+++ b/tests/platform_exchange.cpp
@@ -119,6 +119,14 @@
         CHECK_FALSE(loadOf("3,1"));
         CHECK_FALSE(loadOf("a,b,c"));
     }
+    THEN("whether it is about to exit is read, and isn't passed on to the caller")
+    {
+        const auto answer = leafAnswer("200 OK\r\nserver-leaving: 1\r\n" + receipt);
+        CHECK(answer.leafLeaves);
+        CHECK(answer.headers.size() == 1);
+        CHECK_FALSE(leafAnswer("200 OK\r\nServer-Leaving: 0\r\n" + receipt).leafLeaves);
+        CHECK_FALSE(leafAnswer("200 OK\r\n" + receipt).leafLeaves);
+    }
     THEN("an answer belongs to the request whose id it echoes")
     {
         const auto echoed = message("HTTP/1.1 200 OK\r\nCrocusreach-Request-Id: 9c41\r\n"
