Send nothing to a leaf that has said it leaves

Cause: a front took a leaf's leaving from the registry only. One that the store refuses, or that is cut off from it, went on sending although each answer said so.

Change: core/leafstatements keeps what a leaf's process states about itself. A leaving leaf ranks behind all others at once, and isUsable() denies it from the drain time on, for first sends, retries, hedges, shards and waiting calls alike. A former process or another leaf at the address marks nothing; the mark outlasts a lapsed entry. Timers have a kind, so that waiting calls are decided again when the drain time ends.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -193,8 +193,9 @@
     if (call.deadline <= now)
         return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::TimedOut, actions);
     // A query that can't reach enough shards is refused before its first send.
-    const auto isServed
-            = [&](std::string_view service) { return hasUsableLeaf(forwarder.leafs, service); };
+    const auto isServed = [&](std::string_view service) {
+        return hasUsableLeaf(forwarder.leafs, service, now);
+    };
     if (!canReachRequiredParts(call, isServed))
         return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::NoLeaf, actions);
     const auto isAnswering = [&](std::string_view service) {
@@ -209,9 +210,10 @@
                           actions);
     }
     forwarder.calls.emplace(call.id, std::move(owned));
-    addTimer(forwarder, call.deadline, false, static_cast<std::uint64_t>(call.id));
+    addTimer(forwarder, call.deadline, TimerKind::Call, static_cast<std::uint64_t>(call.id));
     if (!route->shards.empty())
-        addTimer(forwarder, call.partialAnswerAt, false, static_cast<std::uint64_t>(call.id));
+        addTimer(forwarder, call.partialAnswerAt, TimerKind::Call,
+                 static_cast<std::uint64_t>(call.id));
     advance(forwarder, call, now, actions);
 }
 
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -68,7 +68,7 @@
             if (!send.idempotent)
                 continue;
             send.closeAt = std::min(send.closeAt, now + cancelDelay);
-            addTimer(forwarder, send.closeAt, true, toUnderlying(id));
+            addTimer(forwarder, send.closeAt, TimerKind::Send, toUnderlying(id));
         }
     }
     endCall(forwarder, call, CallEnd::CallerLeft, now, actions);
@@ -100,16 +100,18 @@
         recordLatency(*send.stats, latency, now);
 }
 
-// Records that a leaf is about to exit. An answer of another leaf at its address says nothing of
-// it.
+// Records that a leaf is about to exit. An answer of another process, former or at the leaf's
+// former address, says nothing of it.
 auto recordLeaving(Forwarder &forwarder, const Send &send, const LeafAnswer &answer,
                    std::string_view requestId, TimePoint now, std::vector<ForwardAction> &actions)
         -> void
 {
     auto &leaf = leafAt(forwarder.leafs, send.leaf);
-    if (!answer.leafLeaves || answer.kind == LeafAnswerKind::OtherLeaf || leaf.leavingSince)
+    if (!answer.leafLeaves || answer.kind == LeafAnswerKind::OtherLeaf
+        || send.leafProcess != leaf.process || isLeaving(leaf.statements))
         return;
-    leaf.leavingSince = now;
+    leaf.statements.leavesAt = now + forwarder.settings.drainTimeout;
+    addTimer(forwarder, *leaf.statements.leavesAt, TimerKind::Leaf, toUnderlying(send.leaf));
     ++forwarder.counters.leavingLeafs;
     actions.emplace_back(LeafLeaving{leaf.record.id, leaf.record.service, leaf.record.domain,
                                      std::string(requestId), leaf.record.draining});
@@ -357,10 +359,10 @@
     while (!forwarder.timers.empty() && forwarder.timers.top().at <= now) {
         const auto timer = forwarder.timers.top();
         forwarder.timers.pop();
-        if (timer.isForSend) {
+        if (timer.kind == TimerKind::Send)
             expireSend(forwarder, SendId(timer.id), now, actions);
+        if (timer.kind != TimerKind::Call)
             continue;
-        }
         const auto call = forwarder.calls.find(CallId(timer.id));
         if (call != forwarder.calls.end())
             advance(forwarder, *call->second, now, actions);
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -43,12 +43,18 @@
     std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::Count)> ends = {};
 };
 
+enum class TimerKind : std::uint8_t {
+    Call,
+    Send,
+    Leaf, // a leaf can be used again or no longer, which may affect calls that wait
+};
+
 // Entry of the timer queue. A timer of a call or send that has ended is ignored.
 struct ForwarderTimer
 {
     TimePoint at = {};
-    bool isForSend = false; // otherwise for a call
-    std::uint64_t id = 0; // SendId or CallId
+    TimerKind kind = TimerKind::Call;
+    std::uint64_t id = 0; // CallId, SendId or LeafNumber
 
     auto operator>(const ForwarderTimer &other) const -> bool { return this->at > other.at; }
 };
--- a/core/forwardprobe.cpp
+++ b/core/forwardprobe.cpp
@@ -20,14 +20,15 @@
 
 // Chooses a leaf in another domain to which this instance has no connection, so that the probe
 // keeps within the connection limit; any leaf there if it has connections to all.
-auto chooseProbeLeaf(Forwarder &forwarder) -> std::optional<LeafNumber>
+auto chooseProbeLeaf(Forwarder &forwarder, TimePoint now) -> std::optional<LeafNumber>
 {
     auto unconnected = std::vector<LeafNumber>();
     auto connected = std::vector<LeafNumber>();
     for (const auto &[service, list] : forwarder.leafs.byService) {
         for (const auto index : list) {
             const auto &leaf = leafAt(forwarder.leafs, index);
-            if (isUsable(forwarder.leafs, leaf) && leaf.record.domain != forwarder.settings.domain)
+            if (isUsable(forwarder.leafs, leaf, now)
+                && leaf.record.domain != forwarder.settings.domain)
                 (leaf.connections.empty() ? unconnected : connected).push_back(index);
         }
     }
@@ -66,7 +67,7 @@
         return;
     endProbe(forwarder, actions);
     probe.nextAt = now + probeInterval;
-    const auto index = chooseProbeLeaf(forwarder);
+    const auto index = chooseProbeLeaf(forwarder, now);
     if (!index)
         return;
     closeIdleConnection(forwarder, *index, actions);
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -62,6 +62,7 @@
     send.opensConnection = !placement.idleConnection;
     send.connection = placement.idleConnection ? *placement.idleConnection
                                                : ConnectionId(++forwarder.lastConnectionId);
+    send.leafProcess = leaf.process;
     send.idempotent = call.route->idempotent;
     send.sentAt = now;
     send.overdueAt = overdueAt;
@@ -86,8 +87,8 @@
     ++part.attempts;
     ++call.sends;
     ++forwarder.counters.sends;
-    addTimer(forwarder, send.closeAt, true, toUnderlying(send.id));
-    addTimer(forwarder, overdueAt, false, static_cast<std::uint64_t>(call.id));
+    addTimer(forwarder, send.closeAt, TimerKind::Send, toUnderlying(send.id));
+    addTimer(forwarder, overdueAt, TimerKind::Call, static_cast<std::uint64_t>(call.id));
     actions.emplace_back(SendToLeaf{send.id, send.connection, send.opensConnection,
                                     leaf.record.address, leaf.record.id, call.request,
                                     call.deadline - now});
@@ -118,7 +119,7 @@
         recordRequest(forwarder.retryBudgets[std::string(part.service)],
                       forwarder.settings.retryLimits, now);
         startSend(forwarder, call, partIndex, *placement, now, actions);
-    } else if (hasUsableLeaf(forwarder.leafs, part.service)) {
+    } else if (hasUsableLeaf(forwarder.leafs, part.service, now)) {
         waitForConnection(forwarder, call);
     } else {
         failPart(part, CallEnd::NoLeaf);
@@ -152,7 +153,7 @@
         return failPart(part, CallEnd::LeafFailure);
     const auto placement = placeRetry(forwarder, call, part, now);
     if (!placement) {
-        if (hasUsableLeaf(forwarder.leafs, part.service))
+        if (hasUsableLeaf(forwarder.leafs, part.service, now))
             return waitForConnection(forwarder, call);
         return failPart(part, CallEnd::NoLeaf);
     }
@@ -206,9 +207,9 @@
     actions.emplace_back(std::move(failed));
 }
 
-auto addTimer(Forwarder &forwarder, TimePoint at, bool isForSend, std::uint64_t id) -> void
+auto addTimer(Forwarder &forwarder, TimePoint at, TimerKind kind, std::uint64_t id) -> void
 {
-    forwarder.timers.push({at, isForSend, id});
+    forwarder.timers.push({at, kind, id});
 }
 
 auto sendDueParts(Forwarder &forwarder, Call &call, TimePoint now,
--- a/core/forwardsend.h
+++ b/core/forwardsend.h
@@ -18,6 +18,6 @@
 auto reportFailedSend(Forwarder &forwarder, const Call &call, const Send &send, RetryReason reason,
                       TimePoint now, std::vector<ForwardAction> &actions) -> void;
 
-auto addTimer(Forwarder &forwarder, TimePoint at, bool isForSend, std::uint64_t id) -> void;
+auto addTimer(Forwarder &forwarder, TimePoint at, TimerKind kind, std::uint64_t id) -> void;
 
 } // namespace crocusreach::forward
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -63,6 +63,7 @@
     std::size_t part = 0;
     RouteStats *stats = nullptr;
     LeafNumber leaf = {};
+    std::uint32_t leafProcess = 0; // of LeafState, at the time of the send
     ConnectionId connection = {};
     bool opensConnection = false;
     bool idempotent = false;
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -111,7 +111,7 @@
     return index;
 }
 
-auto resetObservations(LeafState &leaf) -> void
+auto startNewProcess(LeafState &leaf) -> void
 {
     leaf.failureRate = 0;
     leaf.misdirected = false;
@@ -120,7 +120,8 @@
     leaf.loadAt = {};
     leaf.failuresInRow = 0;
     leaf.avoidUntil = {};
-    leaf.leavingSince.reset();
+    leaf.statements = {};
+    ++leaf.process;
 }
 
 } // namespace
@@ -148,7 +149,7 @@
     if (restarted || leaf.record.revision != record.revision)
         leaf.misdirected = false;
     if (restarted)
-        resetObservations(leaf);
+        startNewProcess(leaf);
     leaf.record = record;
     leaf.idHash = hashName(record.id);
     leaf.removeAt.reset();
@@ -190,9 +191,10 @@
     }
 }
 
-auto isUsable(const LeafTable &table, const LeafState &leaf) -> bool
+auto isUsable(const LeafTable &table, const LeafState &leaf, TimePoint now) -> bool
 {
     return leaf.listed && !leaf.record.draining && !leaf.misdirected
+           && !hasLeft(leaf.statements, now)
            && !table.evacuatedDomains.contains(leaf.record.domain);
 }
 
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "leafstatements.h"
 #include "routetable.h"
 #include "types.h"
 
@@ -75,6 +76,8 @@
     bool preferred = true; // this instance keeps connections to it
     double connectionShare = 1; // connections that this instance may keep to it, at most 1
     std::uint64_t idHash = 0;
+    std::uint32_t process = 0; // counts the processes of the leaf that had this id
+    LeafStatements statements; // of the current process
     std::vector<LeafConnection> connections;
     std::vector<OutstandingSend> outstanding; // oldest first
     // Moving average of the latency relative to the typical latency of the route. Without answers
@@ -88,7 +91,6 @@
     TimePoint lastAnswerAt = {}; // the latest successful one
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil = {}; // after failures; until then used only if there is no other
-    std::optional<TimePoint> leavingSince; // the first answer that stated that it is about to exit
     TimePoint coldUntil = {};
     TimePoint nextColdSendAt = {};
 };
@@ -118,9 +120,9 @@
 // Carries out the removals that are due.
 auto applyRemovals(LeafTable &table, TimePoint now) -> void;
 
-// True if requests may be sent to the leaf: it is listed, not draining, at its address, and not
-// evacuated.
-auto isUsable(const LeafTable &table, const LeafState &leaf) -> bool;
+// True if requests may be sent to the leaf: it is listed, neither draining nor gone by its own
+// statement, at its address, and not evacuated.
+auto isUsable(const LeafTable &table, const LeafState &leaf, TimePoint now) -> bool;
 
 // True while an answer is overdue: the leaf is stalled, or the network path to it has failed.
 auto isStalled(const LeafState &leaf, TimePoint now) -> bool;
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -13,6 +13,8 @@
 // Leafs stall for up to 200 ms.
 constexpr Duration stalledCost = std::chrono::milliseconds(200);
 constexpr Duration avoidedCost = std::chrono::seconds(2);
+// A leaving leaf is used in the rest of its time only if all others have failed or none is known.
+constexpr Duration leavingCost = std::chrono::seconds(1);
 // Of a failed send: the time until the retry, and the retry budget that it uses.
 constexpr Duration failureCost = std::chrono::milliseconds(100);
 // Random extra cost that spreads requests over leafs of equal cost.
@@ -101,6 +103,8 @@
     time += scaled(failureCost, failureRateOf(leaf, now));
     if (isStalled(leaf, now) || isUnreachable(leaf, query, now))
         time += stalledCost;
+    if (isLeaving(leaf.statements))
+        time += leavingCost;
     if (now < leaf.avoidUntil)
         time += avoidedCost;
     return time;
@@ -120,7 +124,8 @@
 // those of its own failure domain first and then in the order of a hash that differs between
 // instances, so that the instances spread over the leafs.
 auto markPreferredLeafs(LeafTable &table, std::span<const LeafNumber> list,
-                        const PlacementQuery &query, const InstanceShare &share) -> void
+                        const PlacementQuery &query, const InstanceShare &share, TimePoint now)
+        -> void
 {
     const auto perLeafShare = ownConnectionShare(query.spec, share).value_or(1);
     const auto totalShare = perLeafShare * static_cast<double>(list.size());
@@ -138,7 +143,7 @@
     };
     for (const auto index : list) {
         const auto better = std::count_if(list.begin(), list.end(), [&](LeafNumber other) {
-            return isUsable(table, leafAt(table, other)) && rank(other) < rank(index);
+            return isUsable(table, leafAt(table, other), now) && rank(other) < rank(index);
         });
         leafAt(table, index).preferred = static_cast<std::size_t>(better) < preferredCount;
     }
@@ -186,7 +191,7 @@
     if (list == table.byService.end())
         return {};
     const auto limit = connectionLimit(query.spec, share);
-    markPreferredLeafs(table, list->second, query, share);
+    markPreferredLeafs(table, list->second, query, share, now);
     auto best = std::optional<Placement>();
     auto bestLatency = Duration::max();
     for (const auto index : list->second) {
@@ -194,7 +199,7 @@
         const auto wasTried = std::find(query.triedLeafs.begin(), query.triedLeafs.end(), index)
                               != query.triedLeafs.end();
         const auto tooEarly = isRateLimited(leaf, query, now) && now < leaf.nextColdSendAt;
-        if (wasTried || tooEarly || !isUsable(table, leaf))
+        if (wasTried || tooEarly || !isUsable(table, leaf, now))
             continue;
         const auto *connection = mostRecentIdleConnection(leaf, now);
         if (connection == nullptr && leaf.connections.size() >= limit)
@@ -220,16 +225,17 @@
     return best;
 }
 
-auto hasUsableLeaf(LeafTable &table, std::string_view service) -> bool
+auto hasUsableLeaf(LeafTable &table, std::string_view service, TimePoint now) -> bool
 {
-    return anyLeaf(table, service, [&](const LeafState &leaf) { return isUsable(table, leaf); });
+    return anyLeaf(table, service,
+                   [&](const LeafState &leaf) { return isUsable(table, leaf, now); });
 }
 
 auto hasResponsiveLeaf(LeafTable &table, std::string_view service, const Reachability &reachability,
                        TimePoint now) -> bool
 {
     return anyLeaf(table, service, [&](const LeafState &leaf) {
-        return isUsable(table, leaf) && !isUnresponsive(leaf, now)
+        return isUsable(table, leaf, now) && !isUnresponsive(leaf, now)
                && !isSuspect(reachability, leaf.record.domain, now);
     });
 }
--- a/core/placement.h
+++ b/core/placement.h
@@ -62,7 +62,7 @@
                RandomState &random, TimePoint now) -> std::optional<Placement>;
 
 // True if a leaf of the service may be used now or later without a change of the registry.
-auto hasUsableLeaf(LeafTable &table, std::string_view service) -> bool;
+auto hasUsableLeaf(LeafTable &table, std::string_view service, TimePoint now) -> bool;
 
 // True if the service has a usable leaf that is responsive, in a domain that isn't suspect.
 auto hasResponsiveLeaf(LeafTable &table, std::string_view service, const Reachability &reachability,
--- a/standins/platformleaf.cpp
+++ b/standins/platformleaf.cpp
@@ -33,12 +33,13 @@
     const auto expected = exchange->header("Crocusreach-Expect-Instance");
     if (this->mode == PlatformLeafMode::OtherLeaf
         || (!expected.empty() && expected != this->leafId)) {
-        exchange->reply(SOUP_STATUS_MISDIRECTED_REQUEST, {{"Crocusreach-Instance-Id", "i-other"}},
-                        {});
+        this->reply(exchange, SOUP_STATUS_MISDIRECTED_REQUEST,
+                    {{"Crocusreach-Instance-Id", "i-other"}}, {});
         return;
     }
     if (this->mode == PlatformLeafMode::Refuses) {
-        exchange->reply(SOUP_STATUS_SERVICE_UNAVAILABLE, {{"Crocusreach-Not-Executed", "1"}}, {});
+        this->reply(exchange, SOUP_STATUS_SERVICE_UNAVAILABLE, {{"Crocusreach-Not-Executed", "1"}},
+                    {});
         return;
     }
     ++this->runCount;
@@ -69,11 +70,18 @@
         record.resize(recordBytes, '.');
         body += record;
     }
-    exchange->reply(SOUP_STATUS_OK,
-                    {{"Crocusreach-Server-Stamp", this->leafId + "." + request},
-                     {"Crocusreach-Request-Id", request},
-                     {"Crocusreach-Server-Load", std::to_string(this->running.size()) + ",0,4"}},
-                    body);
+    this->reply(exchange, SOUP_STATUS_OK,
+                {{"Crocusreach-Server-Stamp", this->leafId + "." + request},
+                 {"Crocusreach-Request-Id", request},
+                 {"Crocusreach-Server-Load", std::to_string(this->running.size()) + ",0,4"}},
+                body);
+}
+
+auto PlatformLeaf::reply(const ExchangePtr &exchange, unsigned status, Headers headers,
+                         std::string_view body) -> void
+{
+    headers.insert(headers.end(), this->statements.begin(), this->statements.end());
+    exchange->reply(status, headers, body);
 }
 
 } // namespace crocusreach::standins
--- a/standins/platformleaf.h
+++ b/standins/platformleaf.h
@@ -43,6 +43,8 @@
     auto address() const -> const std::string & { return this->server.address(); }
     auto id() const -> const std::string & { return this->leafId; }
     auto setMode(PlatformLeafMode changed) -> void { this->mode = changed; }
+    // Headers that it adds to all its answers, with which it states something about itself.
+    auto setStatements(Headers headers) -> void { this->statements = std::move(headers); }
     auto setWork(std::int64_t microseconds) -> void { this->work = microseconds; }
     auto runs() const -> std::uint64_t { return this->runCount; }
     auto closeConnections() -> void { this->server.closeConnections(); }
@@ -50,11 +52,14 @@
 private:
     auto handle(const ExchangePtr &exchange) -> void;
     auto answer(const ExchangePtr &exchange) -> void;
+    auto reply(const ExchangePtr &exchange, unsigned status, Headers headers, std::string_view body)
+            -> void;
 
     std::string leafId;
     RunLedger &ledger;
     PlatformLeafMode mode = PlatformLeafMode::Serves;
     std::int64_t work = 1000;
+    Headers statements;
     std::atomic<std::uint64_t> runCount = 0;
     std::map<Exchange *, Source> running;
     std::map<Exchange *, ExchangePtr> silenced;
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -119,7 +119,7 @@
     record.startedAt = 1000;
     putLeaf(table, record, now);
     auto &leaf = leafAt(table, table.byId.at("i-1"));
-    REQUIRE(isUsable(table, leaf));
+    REQUIRE(isUsable(table, leaf, now));
     WHEN("an older revision of the entry arrives late")
     {
         auto older = record;
@@ -128,7 +128,7 @@
         putLeaf(table, older, now);
         THEN("it changes nothing")
         {
-            CHECK(isUsable(table, leaf));
+            CHECK(isUsable(table, leaf, now));
         }
     }
     WHEN("the leaf restarts under the same id")
@@ -142,7 +142,7 @@
         putLeaf(table, restarted, now);
         THEN("the observations of the former process are reset, and the leaf is cold")
         {
-            CHECK(isUsable(table, leaf));
+            CHECK(isUsable(table, leaf, now));
             CHECK(failureRateOf(leaf, now) == 0);
             CHECK(leaf.coldUntil == now + 3s);
         }
@@ -156,8 +156,8 @@
         putLeaf(table, other, now);
         THEN("the leaf is unusable, although its own entry is still there")
         {
-            CHECK_FALSE(isUsable(table, leaf));
-            CHECK(isUsable(table, leafAt(table, table.byId.at("i-2"))));
+            CHECK_FALSE(isUsable(table, leaf, now));
+            CHECK(isUsable(table, leafAt(table, table.byId.at("i-2")), now));
         }
     }
     WHEN("an older entry of another leaf with its address is read after its own")
@@ -169,8 +169,8 @@
         putLeaf(table, other, now);
         THEN("the other leaf is unusable")
         {
-            CHECK(isUsable(table, leaf));
-            CHECK_FALSE(isUsable(table, leafAt(table, table.byId.at("i-2"))));
+            CHECK(isUsable(table, leaf, now));
+            CHECK_FALSE(isUsable(table, leafAt(table, table.byId.at("i-2")), now));
         }
     }
     WHEN("the leaf is removed, and others are added and removed for hours")
@@ -202,7 +202,7 @@
             putLeaf(table, record, now);
             THEN("it is used")
             {
-                CHECK(isUsable(table, leafAt(table, table.byId.at("i-1"))));
+                CHECK(isUsable(table, leafAt(table, table.byId.at("i-1")), now));
             }
         }
     }
--- /dev/null
+++ b/tests/core_forwarder_statements.cpp
@@ -0,0 +1,219 @@
+#include <catch2/catch.hpp>
+
+#include "forwarderfixture.h"
+
+using namespace crocusreach;
+using namespace crocusreach::forward;
+using namespace std::chrono_literals;
+
+using Fixture = tests::ForwarderFixture;
+using tests::gatherRoute;
+using tests::singleRoute;
+
+namespace {
+
+// The drain timeout of the fixture's settings.
+constexpr auto drainTimeout = 3s;
+
+auto answerLeaving(Fixture &fixture, const SendToLeaf &send,
+                   LeafAnswerKind kind = LeafAnswerKind::Success) -> void
+{
+    auto content = fixture.answerContent(send, kind, kind == LeafAnswerKind::Success ? 200 : 503);
+    content.leafLeaves = true;
+    fixture.deliver(LeafAnswered{send.send, content, true, {}});
+}
+
+// Receives a request and answers its send. Returns the leaf that got it; empty if none did.
+auto serveRequest(Fixture &fixture) -> std::string
+{
+    fixture.receiveRequest();
+    const auto sends = fixture.takeSends();
+    if (sends.empty())
+        return {};
+    fixture.answer(sends.at(0));
+    return sends.at(0).leafId;
+}
+
+} // namespace
+
+// Guards against requests to a leaf that has stated in an answer that it is about to exit, while
+// its entry in the registry can't be read or doesn't say so.
+SCENARIO("a leaf that says it leaves gets no requests after the drain timeout")
+{
+    auto fixture = Fixture();
+    fixture.setRoute(singleRoute(true));
+    GIVEN("a leaf in the own failure domain that says so, and another leaf")
+    {
+        const auto leaving = fixture.record("ledger", "a");
+        fixture.deliver(LeafsRegistered{{leaving}});
+        fixture.addLeaf("ledger", "b", "muar-b");
+        fixture.receiveRequest();
+        const auto first = fixture.takeSends().at(0);
+        REQUIRE(first.leafId == "a");
+        answerLeaving(fixture, first);
+        THEN("the other leaf gets all further requests, at once and later")
+        {
+            CHECK(serveRequest(fixture) == "b");
+            fixture.advanceTime(drainTimeout);
+            for (auto number = 0; number < 20; ++number)
+                CHECK(serveRequest(fixture) == "b");
+        }
+        WHEN("the other leaf refuses a request after the drain timeout")
+        {
+            fixture.advanceTime(drainTimeout);
+            const auto call = fixture.receiveRequest();
+            fixture.answer(fixture.takeSends().at(0), LeafAnswerKind::NotRun, 503);
+            THEN("it isn't retried at the leaving leaf")
+            {
+                for (const auto &send : fixture.takeSends())
+                    CHECK(send.leafId == "b");
+                CHECK(fixture.answerOf(call) == nullptr);
+            }
+        }
+        WHEN("the other leaf is slow to answer after the drain timeout")
+        {
+            fixture.advanceTime(drainTimeout);
+            fixture.receiveRequest();
+            fixture.takeSends();
+            fixture.advanceTime(200ms);
+            THEN("there is no hedge at the leaving leaf")
+            {
+                CHECK(fixture.takeSends().empty());
+            }
+        }
+        WHEN("its unchanged entry lapses and returns")
+        {
+            fixture.deliver(LeafsRemoved{{"a"}, true});
+            fixture.advanceTime(drainTimeout);
+            auto returned = leaving;
+            returned.revision = leaving.revision + 100;
+            fixture.deliver(LeafsRegistered{{returned}});
+            THEN("it still gets no requests")
+            {
+                CHECK(serveRequest(fixture) == "b");
+            }
+        }
+        WHEN("a new process of the leaf registers under its id")
+        {
+            auto restarted = leaving;
+            restarted.revision = leaving.revision + 100;
+            restarted.startedAt = 2000;
+            fixture.deliver(LeafsRegistered{{restarted}});
+            fixture.advanceTime(drainTimeout);
+            THEN("the new process gets requests")
+            {
+                CHECK(serveRequest(fixture) == "a");
+            }
+        }
+    }
+    GIVEN("an answer of a former process that arrives after its successor has registered")
+    {
+        const auto former = fixture.record("ledger", "a");
+        fixture.deliver(LeafsRegistered{{former}});
+        fixture.receiveRequest();
+        const auto sent = fixture.takeSends().at(0);
+        auto restarted = former;
+        restarted.revision = former.revision + 100;
+        restarted.startedAt = 2000;
+        fixture.deliver(LeafsRegistered{{restarted}});
+        answerLeaving(fixture, sent);
+        fixture.advanceTime(drainTimeout);
+        THEN("the successor gets requests")
+        {
+            CHECK(serveRequest(fixture) == "a");
+        }
+    }
+    GIVEN("a leaf whose address another leaf has that says it leaves")
+    {
+        const auto record = fixture.record("ledger", "a");
+        fixture.deliver(LeafsRegistered{{record}});
+        fixture.receiveRequest();
+        answerLeaving(fixture, fixture.takeSends().at(0), LeafAnswerKind::OtherLeaf);
+        auto moved = record;
+        moved.revision = record.revision + 100;
+        fixture.deliver(LeafsRegistered{{moved}});
+        fixture.advanceTime(drainTimeout);
+        THEN("the leaf itself gets requests again once its entry is renewed")
+        {
+            CHECK(serveRequest(fixture) == "a");
+        }
+    }
+    GIVEN("a service whose only leaf says so while it refuses a request as not run")
+    {
+        fixture.addLeaf("ledger", "a");
+        fixture.receiveRequest();
+        answerLeaving(fixture, fixture.takeSends().at(0), LeafAnswerKind::NotRun);
+        fixture.actions.clear();
+        THEN("it serves on until the drain timeout is over")
+        {
+            fixture.advanceTime(drainTimeout - 200ms);
+            CHECK(serveRequest(fixture) == "a");
+        }
+        THEN("afterwards requests are refused at once as not run")
+        {
+            fixture.advanceTime(drainTimeout);
+            const auto call = fixture.receiveRequest();
+            CHECK(fixture.takeSends().empty());
+            const auto *own = fixture.answerAs<LocalAnswer>(call);
+            REQUIRE(own != nullptr);
+            CHECK(own->status == LocalStatus::NotRun);
+        }
+    }
+    GIVEN("a request that waits for a connection to the only leaf, which says that it leaves")
+    {
+        auto limited = ServiceSpec();
+        limited.name = "ledger";
+        limited.maxConnections = 2;
+        auto route = singleRoute(true);
+        route.timeout = 10s;
+        fixture.setRoute(route, {limited});
+        fixture.addLeaf("ledger", "a");
+        fixture.receiveRequest(10s);
+        const auto running = fixture.takeSends().at(0);
+        const auto waiting = fixture.receiveRequest(10s);
+        REQUIRE(fixture.takeSends().empty());
+        auto content = fixture.answerContent(running, LeafAnswerKind::Success, 200);
+        content.leafLeaves = true;
+        fixture.advanceTime(100ms);
+        WHEN("another request occupies the connection beyond the drain timeout")
+        {
+            // The first caller's answer frees the connection, which the waiting request takes.
+            fixture.deliver(LeafAnswered{running.send, content, true, {}});
+            const auto taken = fixture.takeSends();
+            REQUIRE(taken.size() == 1);
+            const auto late = fixture.receiveRequest(10s);
+            fixture.advanceTime(drainTimeout);
+            THEN("a request that still waits then is refused as not run")
+            {
+                CHECK(fixture.takeSends().empty());
+                const auto *own = fixture.answerAs<LocalAnswer>(late);
+                REQUIRE(own != nullptr);
+                CHECK(own->status == LocalStatus::NotRun);
+                CHECK(fixture.answerOf(waiting) == nullptr);
+            }
+        }
+    }
+    GIVEN("a query over shards, one of whose leafs says that it leaves")
+    {
+        fixture.setRoute(gatherRoute(2, 1));
+        fixture.addLeaf("shard-0", "a0");
+        fixture.addLeaf("shard-0", "b0", "muar-b");
+        fixture.addLeaf("shard-1", "a1");
+        fixture.receiveRequest();
+        for (const auto &send : fixture.takeSends()) {
+            if (send.leafId == "a0")
+                answerLeaving(fixture, send);
+            else
+                fixture.answer(send);
+        }
+        fixture.advanceTime(drainTimeout);
+        fixture.receiveRequest();
+        THEN("the next query uses the shard's other leaf")
+        {
+            const auto sends = fixture.takeSends();
+            REQUIRE(sends.size() == 2);
+            for (const auto &send : sends)
+                CHECK(send.leafId != "a0");
+        }
+    }
+}
--- a/tests/forwarderfixture.h
+++ b/tests/forwarderfixture.h
@@ -103,15 +103,21 @@
     auto takeSends() -> std::vector<SendToLeaf> { return this->takeActions<SendToLeaf>(); }
     auto takeOpens() -> std::vector<OpenConnection> { return this->takeActions<OpenConnection>(); }
 
-    auto answer(const SendToLeaf &send, LeafAnswerKind kind = LeafAnswerKind::Success,
-                std::uint32_t status = 200) -> void
+    static auto answerContent(const SendToLeaf &send, LeafAnswerKind kind, std::uint32_t status)
+            -> LeafAnswer
     {
         auto content = LeafAnswer();
         content.kind = kind;
         content.status = status;
         content.receipt = "receipt of " + send.leafId;
         content.body = std::string(recordBytes, send.leafId.back());
-        this->deliver(LeafAnswered{send.send, content, true, {}});
+        return content;
+    }
+
+    auto answer(const SendToLeaf &send, LeafAnswerKind kind = LeafAnswerKind::Success,
+                std::uint32_t status = 200) -> void
+    {
+        this->deliver(LeafAnswered{send.send, answerContent(send, kind, status), true, {}});
     }
 
     // Answers the sends that takeSends() has not returned yet.
--- a/tests/front_path.cpp
+++ b/tests/front_path.cpp
@@ -3,6 +3,7 @@
 #include "platformpath.h"
 
 #include <atomic>
+#include <thread>
 
 using namespace crocusreach;
 using namespace crocusreach::tests;
@@ -209,3 +210,34 @@
         CHECK(path.ask("/one/x").status == 200);
     }
 }
+
+// Guards against a front that learns only from the store that a leaf leaves.
+SCENARIO("a leaf says in its answers that it leaves, and the store doesn't")
+{
+    auto path = PlatformPath();
+    path.drainTimeout = 300ms;
+    path.addLeaf("ledger", "l-a", "muar-a");
+    path.addLeaf("ledger", "l-b", "muar-b");
+    path.configure(3, {singleRoute("/one/", true)});
+    path.startFront();
+    path.setStatements("l-a", {{"Server-Leaving", "1"}});
+    const auto first = path.ask("/one/x");
+    REQUIRE(PlatformPath::leafOf(first) == "l-a");
+    THEN("the caller gets the answer without the header")
+    {
+        CHECK_FALSE(findHeader(first, "Server-Leaving"));
+    }
+    WHEN("callers ask after the drain timeout, on new connections and on an open one")
+    {
+        auto client = TestClient(path.addresses.caller);
+        std::this_thread::sleep_for(path.drainTimeout);
+        THEN("the other leaf serves them")
+        {
+            for (auto number = 0; number < 10; ++number) {
+                CHECK(PlatformPath::leafOf(path.ask("/one/x")) == "l-b");
+                client.send(path.requestText("/one/x", "GET", {}));
+                CHECK(PlatformPath::leafOf(client.receive().value()) == "l-b");
+            }
+        }
+    }
+}
--- a/tests/platformpath.h
+++ b/tests/platformpath.h
@@ -67,6 +67,11 @@
         });
     }
 
+    auto setStatements(const std::string &id, const Headers &headers) -> void
+    {
+        this->worker.run([&] { this->leafs.at(id)->setStatements(headers); });
+    }
+
     auto setMode(const std::string &id, PlatformLeafMode mode) -> void
     {
         this->worker.run([&] { this->leafs.at(id)->setMode(mode); });
@@ -83,6 +88,7 @@
         made.storeAddress = this->store->address();
         made.forwarder.domain = "muar-a";
         made.forwarder.retryLimits = {0.2, 100, 10s};
+        made.forwarder.drainTimeout = this->drainTimeout;
         made.lifecycle.gracePeriod = 2s;
         return made;
     }
@@ -153,6 +159,7 @@
     std::unique_ptr<MainThread> thread;
     std::unique_ptr<Front> front;
     FrontAddresses addresses;
+    Duration drainTimeout = 3s; // to be set before the front starts
     int lastId = 0;
 };
 
