Log and count the limits that leafs name

Change: Server-Limit is read and kept with the leaf's process (event 216, counter leaf_limit_changed). No decision uses it yet.

--- a/base/log.cpp
+++ b/base/log.cpp
@@ -90,6 +90,8 @@
          "an operator's change was not accepted, or its result is not known"},
         {LogEvent::LeafLeaving, "leaf_leaving", Severity::Info,
          "a leaf states in its answers that it is about to exit"},
+        {LogEvent::LeafLimitChanged, "leaf_limit_changed", Severity::Info,
+         "a leaf states another limit on its requests a second, or no longer any"},
         {LogEvent::PeerLinkOpened, "peer_link_opened", Severity::Info,
          "the stream to a peer is open"},
         {LogEvent::PeerLinkLost, "peer_link_lost", Severity::Warning,
--- a/base/log.h
+++ b/base/log.h
@@ -44,6 +44,7 @@
     ChangeAccepted = 213,
     ChangeRefused = 214,
     LeafLeaving = 215,
+    LeafLimitChanged = 216,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -100,15 +100,36 @@
         recordLatency(*send.stats, latency, now);
 }
 
-// Records that a leaf is about to exit. An answer of another process, former or at the leaf's
-// former address, says nothing of it.
+// True if the answer comes from the process that the leaf's entry describes, not from its
+// predecessor or from another leaf at the address.
+auto isOfCurrentProcess(const LeafState &leaf, const Send &send, const LeafAnswer &answer) -> bool
+{
+    return answer.kind != LeafAnswerKind::OtherLeaf && send.leafProcess == leaf.process;
+}
+
+// Records the rate limit that a leaf states. Only a success says that it no longer states one:
+// other answers may lack the header.
+auto recordRateLimit(Forwarder &forwarder, const Send &send, const LeafAnswer &answer,
+                     std::vector<ForwardAction> &actions) -> void
+{
+    auto &leaf = leafAt(forwarder.leafs, send.leaf);
+    const auto ended = !answer.rateLimit && answer.kind == LeafAnswerKind::Success;
+    if (!isOfCurrentProcess(leaf, send, answer) || (!answer.rateLimit && !ended)
+        || leaf.statements.rateLimit == answer.rateLimit)
+        return;
+    leaf.statements.rateLimit = answer.rateLimit;
+    ++forwarder.counters.limitChanges;
+    actions.emplace_back(LeafLimitChanged{leaf.record.id, leaf.record.service, leaf.record.domain,
+                                          answer.rateLimit});
+}
+
+// Records that a leaf is about to exit.
 auto recordLeaving(Forwarder &forwarder, const Send &send, const LeafAnswer &answer,
                    std::string_view requestId, TimePoint now, std::vector<ForwardAction> &actions)
         -> void
 {
     auto &leaf = leafAt(forwarder.leafs, send.leaf);
-    if (!answer.leafLeaves || answer.kind == LeafAnswerKind::OtherLeaf
-        || send.leafProcess != leaf.process || isLeaving(leaf.statements))
+    if (!answer.leafLeaves || !isOfCurrentProcess(leaf, send, answer) || isLeaving(leaf.statements))
         return;
     leaf.statements.leavesAt = now + forwarder.settings.drainTimeout;
     addTimer(forwarder, *leaf.statements.leavesAt, TimerKind::Leaf, toUnderlying(send.leaf));
@@ -214,6 +235,7 @@
                                    ? std::string_view()
                                    : std::string_view(call->second->request->id);
     recordLeaving(forwarder, send, event.answer, requestId, now, actions);
+    recordRateLimit(forwarder, send, event.answer, actions);
     recordDomainAnswer(forwarder.reachability, leaf.record.domain, now);
     if (!event.isConnectionReusable || !leaf.listed)
         closeConnection(forwarder, send.connection, actions);
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -70,6 +70,8 @@
     std::string receipt; // the leaf's proof that it answered this request; empty if it gave none
     std::optional<ReportedLoad> load;
     bool leafLeaves = false; // the answering leaf states that it is about to exit
+    // Requests a second that the answering leaf takes from all instances together, if it states it.
+    std::optional<double> rateLimit;
     std::vector<HeaderField> headers; // only those that are forwarded to the caller
     std::string body;
 };
@@ -332,7 +334,17 @@
     bool drainingInRegistry = false; // its entry states the same
 };
 
-using ForwardAction = std::variant<SendToLeaf, OpenConnection, CloseConnection, AnswerCaller,
-                                   CallEnded, SendRepeated, SendFailureReport, LeafLeaving>;
+// A leaf stated another rate limit than before, or no longer states any.
+struct LeafLimitChanged
+{
+    std::string leaf;
+    std::string service;
+    std::string domain; // of the leaf
+    std::optional<double> perSecond; // from all instances together
+};
+
+using ForwardAction
+        = std::variant<SendToLeaf, OpenConnection, CloseConnection, AnswerCaller, CallEnded,
+                       SendRepeated, SendFailureReport, LeafLeaving, LeafLimitChanged>;
 
 } // namespace crocusreach::forward
--- a/core/leafstatements.h
+++ b/core/leafstatements.h
@@ -12,6 +12,7 @@
 struct LeafStatements
 {
     std::optional<TimePoint> leavesAt; // it is about to exit, and gets no requests from then on
+    std::optional<double> rateLimit; // requests a second that it takes from all instances together
 };
 
 // True if the leaf has stated that it is about to exit. It still serves for the drain timeout.
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -121,6 +121,9 @@
                           [](const SendFailureReport &failed) {
                               logEvent(LogEvent::SendFailed, fieldsOf(failed));
                           },
+                          [](const LeafLimitChanged &changed) {
+                              logEvent(LogEvent::LeafLimitChanged, fieldsOf(changed));
+                          },
                           [](const LeafLeaving &leaving) {
                               logEvent(LogEvent::LeafLeaving, fieldsOf(leaving));
                           }},
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -109,6 +109,14 @@
             {"listed_draining", yesOrNo(leaving.drainingInRegistry)}};
 }
 
+auto fieldsOf(const LeafLimitChanged &changed) -> std::vector<LogField>
+{
+    return {{"leaf", changed.leaf},
+            {"service", changed.service},
+            {"domain", changed.domain},
+            {"per_s", changed.perSecond ? std::to_string(*changed.perSecond) : "none"}};
+}
+
 auto logLearned(const ForwardEvent &event) -> void
 {
     std::visit(
--- a/front/frontmetrics.cpp
+++ b/front/frontmetrics.cpp
@@ -68,6 +68,7 @@
     event("invalid", counters.invalid);
     event("not_sent", counters.notSent);
     event("leaf_leaving", counters.leavingLeafs);
+    event("leaf_limit_changed", counters.limitChanges);
     event("overdue", counters.overdue);
     event("store_call", storeCalls);
     for (std::size_t index = 0; index < counters.ends.size(); ++index)
--- a/tests/platform_exchange.cpp
+++ b/tests/platform_exchange.cpp
@@ -127,6 +127,18 @@
         CHECK_FALSE(leafAnswer("200 OK\r\nServer-Leaving: 0\r\n" + receipt).leafLeaves);
         CHECK_FALSE(leafAnswer("200 OK\r\n" + receipt).leafLeaves);
     }
+    THEN("the rate limit that it states is read, and nonsense states none")
+    {
+        const auto limitOf = [&](const std::string &text) {
+            return leafAnswer("200 OK\r\nServer-Limit: " + text + "\r\n" + receipt).rateLimit;
+        };
+        CHECK(limitOf("33.6") == 33.6);
+        CHECK(limitOf("0") == 0.0);
+        CHECK(limitOf("1e300") == 1e300);
+        for (const auto *const text : {"-1", "nan", "inf", "1e999", "many", "", "3 a second"})
+            CHECK_FALSE(limitOf(text));
+        CHECK_FALSE(leafAnswer("200 OK\r\n" + receipt).rateLimit);
+    }
     THEN("an answer belongs to the request whose id it echoes")
     {
         const auto echoed = message("HTTP/1.1 200 OK\r\nCrocusreach-Request-Id: 9c41\r\n"
