Read each object of the store by itself

Other operators saw machines that ended again and again, or stopped following the leafs, after another writer left one odd entry among theirs.

Cause: a reply was read as one document. Copying and writing an entry nested 200,000 deep overflowed the stack; one number too large, or bytes that are no text, made the whole reply unreadable; a port out of range was found out by sends that failed.

A leaf's address must be an IPv4 address with a port.

--- a/front/tcpsocket.cpp
+++ b/front/tcpsocket.cpp
@@ -73,6 +73,12 @@
 
 } // namespace
 
+auto isTcpAddress(std::string_view text) -> bool
+{
+    const auto address = parseAddress(text);
+    return address && address->sin_port != 0;
+}
+
 auto listenTcp(std::string_view address) -> Result<FileHandle>
 {
     const auto parsed = parseAddress(address);
--- a/front/tcpsocket.h
+++ b/front/tcpsocket.h
@@ -28,6 +28,9 @@
 // A connection that waits at a listener; closed if there is none.
 auto acceptTcp(int listener) -> FileHandle;
 
+// True for IP:port with a port that connections can be opened to.
+auto isTcpAddress(std::string_view text) -> bool;
+
 // Starts a connection to IP:port. The socket turns writable once it is established.
 auto connectTcp(std::string_view address, const KeepAlive &keepAlive) -> Result<FileHandle>;
 
--- a/tests/platform_objects.cpp
+++ b/tests/platform_objects.cpp
@@ -136,6 +136,97 @@
     }
 }
 
+// Guards against one odd entry that ends the process, or that makes the whole reply unreadable, so
+// that the other leafs are no longer followed.
+SCENARIO("one odd entry among those of the leafs harms no other")
+{
+    const auto entry = [](const std::string &name, const std::string &spec) {
+        return R"({"meta":{"name":")" + name + R"(","revision":13},"spec":)" + spec
+               + R"(,"status":null})";
+    };
+    const auto spec = [](std::string_view part, std::string_view by) {
+        const auto whole = std::string(leafEntry);
+        const auto start = whole.find(R"({"backend")");
+        const auto end = whole.find(R"(,"status")");
+        return replaced(whole.substr(start, end - start), part, by);
+    };
+    constexpr auto depth = std::size_t(200'000);
+    const auto nestedLists = std::string(depth, '[') + std::string(depth, ']');
+    auto nestedObjects = std::string();
+    for (std::size_t level = 0; level < depth; ++level)
+        nestedObjects += R"({"a":)";
+    nestedObjects += "1" + std::string(depth, '}');
+    const auto faults = std::vector<std::pair<std::string, std::string>>{
+            {"nested lists", nestedLists},
+            {"nested objects", nestedObjects},
+            {"a nested field", spec(R"("seq":4)", R"("seq":)" + nestedLists)},
+            {"a nested field that nobody knows",
+             spec(R"("seq":4)", R"("seq":4,"x":)" + nestedLists)},
+            {"a number too large", spec(R"("slots":3)", R"("slots":1e999)")},
+            {"a number too large in an unknown field", spec(R"("seq":4)", R"("seq":4,"x":-1e999)")},
+            {"a whole number too large",
+             spec(R"("slots":3)", R"("slots":99999999999999999999999)")},
+            {"a port out of range", spec("10.0.0.1:80", "10.0.0.1:65536")},
+            {"port zero", spec("10.0.0.1:80", "10.0.0.1:0")},
+            {"no port", spec("10.0.0.1:80", "10.0.0.1")},
+            {"no address", spec("10.0.0.1:80", "leaf-1:80")},
+            {"bytes that are no text", spec("10.0.0.1:80", "\xff\xfe")},
+            {"a number that is none", "12e"},
+            {"nothing", ""},
+    };
+    for (const auto &[name, odd] : faults) {
+        GIVEN(name)
+        {
+            const auto items = entry("i-0", odd) + "," + std::string(leafEntry);
+            THEN("a list names no leaf for it, and the others hold")
+            {
+                const auto listed = list(ObjectKind::Leafs, items).objects;
+                REQUIRE(listed.size() == 2);
+                CHECK(listed[0].name == "i-0");
+                CHECK(listed[0].revision == 13);
+                CHECK(std::holds_alternative<UnusableObject>(listed[0].content));
+                CHECK(std::holds_alternative<LeafRecord>(listed[1].content));
+            }
+            THEN("so does a change")
+            {
+                const auto body = R"({"events":[{"object":)" + entry("i-0", odd)
+                                  + R"(,"deleted":false},{"deleted":false,"object":)"
+                                  + std::string(leafEntry) + R"(}],"current_rev":21})";
+                const auto changed = std::get<ObjectsChanged>(
+                        readStoreReply(WatchObjects{ObjectKind::Leafs, 5, 10s}, reply(200, body)));
+                REQUIRE(changed.objects.size() == 2);
+                CHECK(std::holds_alternative<UnusableObject>(changed.objects[0].content));
+                CHECK(std::holds_alternative<LeafRecord>(changed.objects[1].content));
+            }
+            THEN("another instance that reads the list from this one can read it too")
+            {
+                const auto listed = list(ObjectKind::Leafs, items).objects;
+                auto pointers = std::vector<const StoredObject *>();
+                for (const auto &object : listed)
+                    pointers.push_back(&object);
+                const auto read = std::get<ObjectsListed>(
+                        readStoreReply(ListObjects{ObjectKind::Leafs, {}},
+                                       reply(200, writeObjectList(pointers, 30))));
+                REQUIRE(read.objects.size() == 2);
+                CHECK(std::holds_alternative<UnusableObject>(read.objects[0].content));
+                CHECK(std::holds_alternative<LeafRecord>(read.objects[1].content));
+            }
+        }
+    }
+    GIVEN("an entry without a readable name")
+    {
+        const auto items = R"({"meta":{"name":7},"spec":{}},"junk",)" + std::string(leafEntry);
+        THEN("the others hold")
+        {
+            const auto listed = list(ObjectKind::Leafs, items).objects;
+            REQUIRE(listed.size() == 3);
+            CHECK(std::holds_alternative<UnusableObject>(listed[0].content));
+            CHECK(std::holds_alternative<UnusableObject>(listed[1].content));
+            CHECK(listed[2].name == "i-1");
+        }
+    }
+}
+
 SCENARIO("replies of the store are told apart")
 {
     const auto watch = StoreRequest(WatchObjects{ObjectKind::Leafs, 5, 10s});
