Test answers that break off at each byte of their head

Other operators' callers got a 200 with an empty or short body after a leaf had stopped in the middle of its answer's head.

Ruled out here: neither the fronts' HTTP reader nor the cell's target client makes an answer of a head that ended early. No code changes; the tests guard both.

--- a/tests/front_links.cpp
+++ b/tests/front_links.cpp
@@ -281,3 +281,25 @@
         }
     }
 }
+
+// Guards against a success made of an answer whose head broke off.
+SCENARIO("a leaf breaks off within its answer")
+{
+    const auto head = std::string("HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 4\r\n\r\n");
+    for (std::size_t size = 0; size < head.size() + 4; ++size) {
+        DYNAMIC_SECTION("after " << size << " bytes of it")
+        {
+            const auto whole = head + "body";
+            auto server = ScriptedServer([&](std::string_view) {
+                return Scripted{whole.substr(0, size), true};
+            });
+            auto bench = LinksBench();
+            bench.send(server.address(), 1, true);
+            THEN("the send fails")
+            {
+                REQUIRE(bench.waitFailure() == LinkFailure::Lost);
+                CHECK(bench.answers.empty());
+            }
+        }
+    }
+}
--- a/tests/runtime_target.cpp
+++ b/tests/runtime_target.cpp
@@ -326,3 +326,22 @@
         }
     }
 }
+
+// Guards against a success made of a reply whose head broke off.
+SCENARIO("a target breaks off within the head of its reply")
+{
+    const auto whole = alwaysReply({}).reply;
+    const auto headSize = whole.find("\r\n\r\n") + 4;
+    for (std::size_t size = 1; size < headSize; size += 3) {
+        DYNAMIC_SECTION("after " << size << " of " << headSize << " bytes")
+        {
+            auto server = ScriptedServer([&](std::string_view) {
+                return Scripted{whole.substr(0, size), true};
+            });
+            auto client = Client();
+            const auto reply = client.exchange(makeSend(server, 1, true));
+            CHECK(reply.outcome != Outcome::Done);
+            CHECK(reply.rows.empty());
+        }
+    }
+}
