Bound what a leaf's endless answer can take up

Cause: one answer was bounded, but not the interim answers and the answers to other requests before it, which were read as fast as they came, nor the sum of all answers in progress (8 MB each).

Change: a connection is closed, and its send fails as invalid, after 16 interim answers, after 8 answers to other requests, and when all answers in progress hold more than 48 MB.

Result: of ten cases in front_links the three above failed before (4 of 29 assertions); all pass. The crocusreach cell's target client is not covered.

--- a/front/httplinks.cpp
+++ b/front/httplinks.cpp
@@ -2,6 +2,17 @@
 
 namespace crocusreach {
 
+namespace {
+
+// Responses in progress of all links together, so that many leafs whose answers don't end can't use
+// up the memory of a small machine.
+constexpr std::size_t maxHeldBytes = std::size_t(48) * 1024 * 1024;
+// A connection may bring a late second response to an earlier request; a server that sends more is
+// not answering.
+constexpr std::uint32_t maxSkippedResponses = 8;
+
+} // namespace
+
 HttpLinks::HttpLinks(Reactor &reactor, KeepAlive keepAlive, LinkEvents events)
     : reactor(reactor)
     , keepAlive(keepAlive)
@@ -41,7 +52,7 @@
         return;
     }
     link->busy = true;
-    link->skipped = false;
+    link->skipped = 0;
     link->requestId = std::move(request.requestId);
     link->reader->expectNoBody(request.headOnly);
     link->output = std::move(request.head);
@@ -66,9 +77,16 @@
     if (found->second->busy)
         resetOnClose(descriptor);
     this->reactor.forget(descriptor);
+    this->setHeldBytes(*found->second, 0);
     this->links.erase(found);
 }
 
+auto HttpLinks::setHeldBytes(Link &link, std::size_t size) -> void
+{
+    this->heldBytes += size - link.heldBytes;
+    link.heldBytes = size;
+}
+
 auto HttpLinks::fail(Link &link, LinkFailure failure) -> void
 {
     const auto id = link.id;
@@ -145,14 +163,20 @@
         auto response = link.reader->take();
         if (!response && link.reader->fault() != HttpFault::None)
             return this->fail(link, LinkFailure::Invalid);
-        if (!response)
+        if (!response) {
+            this->setHeldBytes(link, link.reader->heldBytes());
+            if (this->heldBytes > maxHeldBytes)
+                this->fail(link, LinkFailure::Invalid);
             return;
+        }
+        this->setHeldBytes(link, 0);
         if (!this->events.belongs(*response, link.requestId)) {
-            link.skipped = true;
+            if (++link.skipped > maxSkippedResponses)
+                return this->fail(link, LinkFailure::Invalid);
             continue;
         }
         // Bytes after the response, or a request that isn't out whole, would mix with what follows.
-        const auto usable = bytes.empty() && response->keepAlive && !link.skipped
+        const auto usable = bytes.empty() && response->keepAlive && link.skipped == 0
                             && link.written == link.output.size();
         const auto id = link.id;
         link.busy = false;
--- a/front/httplinks.h
+++ b/front/httplinks.h
@@ -72,7 +72,8 @@
         std::string requestId;
         bool busy = false;
         bool connected = false;
-        bool skipped = false; // a response to another request came before
+        std::uint32_t skipped = 0; // responses to other requests that came before
+        std::size_t heldBytes = 0; // of a response in progress
     };
 
     auto open(std::uint64_t id, std::string_view address) -> Link *;
@@ -80,12 +81,14 @@
     auto write(Link &link) -> void;
     auto read(Link &link) -> void;
     auto takeResponses(Link &link, std::string_view bytes) -> void;
+    auto setHeldBytes(Link &link, std::size_t size) -> void;
     auto fail(Link &link, LinkFailure failure) -> void;
 
     Reactor &reactor;
     KeepAlive keepAlive;
     LinkEvents events;
     std::unordered_map<std::uint64_t, std::unique_ptr<Link>> links;
+    std::size_t heldBytes = 0; // of all links
 };
 
 } // namespace crocusreach
--- a/front/httpmessage.cpp
+++ b/front/httpmessage.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Before one response. A server that sends more doesn't come to an end.
+constexpr std::uint32_t maxInterimResponses = 16;
+
 auto lower(char character) -> char
 {
     return character >= 'A' && character <= 'Z' ? static_cast<char>(character + ('a' - 'A'))
@@ -152,6 +155,11 @@
             const auto interim = reader.side == HttpSide::Response && parser->status_code >= 100
                                  && parser->status_code < 200;
             reader.complete = !interim;
+            reader.interimResponses = interim ? reader.interimResponses + 1 : 0;
+            if (reader.interimResponses > maxInterimResponses) {
+                reader.currentFault = HttpFault::Malformed;
+                return 1;
+            }
             if (reader.complete)
                 http_parser_pause(parser, 1);
             return 0;
--- a/front/httpmessage.h
+++ b/front/httpmessage.h
@@ -82,6 +82,8 @@
     // True from the first byte of a message to its end.
     auto isInMessage() const -> bool { return this->inMessage; }
     auto hasHeaders() const -> bool { return this->headersComplete; }
+    // Bytes that the message in progress holds.
+    auto heldBytes() const -> std::size_t { return this->headerSize + this->message.body.size(); }
     // The message in progress, for what its headers say.
     auto current() const -> const HttpMessage & { return this->message; }
 
@@ -102,6 +104,7 @@
     bool hasEncoding = false; // a header Transfer-Encoding has come
     bool noBody = false;
     std::size_t headerSize = 0;
+    std::uint32_t interimResponses = 0; // before the message in progress
     HttpFault currentFault = HttpFault::None;
 };
 
--- a/tests/front_links.cpp
+++ b/tests/front_links.cpp
@@ -67,6 +67,14 @@
         });
     }
 
+    auto closeAll(std::uint64_t lastLink) -> void
+    {
+        this->thread.run([&] {
+            for (std::uint64_t link = 1; link <= lastLink; ++link)
+                this->links->close(link);
+        });
+    }
+
     struct Answer
     {
         HttpMessage response;
@@ -303,3 +311,59 @@
         }
     }
 }
+
+// Guards against a leaf that takes up the memory or the processor of a front with an answer that
+// never ends.
+SCENARIO("a leaf sends bytes without end")
+{
+    constexpr auto size = std::size_t(24) * 1024 * 1024;
+    const auto ok = std::string("HTTP/1.1 200 OK\r\n");
+    const auto repeated = [](std::string_view part) {
+        auto text = std::string();
+        text.reserve(size + part.size());
+        while (text.size() < size)
+            text += part;
+        return text;
+    };
+    const auto answers = std::vector<std::pair<std::string, std::string>>{
+            {"a status line", "HTTP/1.1 200 " + repeated("x")},
+            {"one header", ok + "X: " + repeated("x")},
+            {"headers", ok + repeated("X: 1\r\n")},
+            {"a body without a length", ok + "\r\n" + repeated("x")},
+            {"a body in chunks",
+             ok + "Transfer-Encoding: chunked\r\n\r\n" + repeated("5\r\nchunk\r\n")},
+            {"a chunk's extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;" + repeated("x")},
+            {"interim answers", repeated("HTTP/1.1 100 Continue\r\n\r\n")},
+            {"answers to other requests",
+             repeated("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n")},
+            {"bytes that are no answer", repeated("x")},
+    };
+    for (const auto &[name, bytes] : answers) {
+        GIVEN(name)
+        {
+            auto server = ScriptedServer([&](std::string_view) { return Scripted{bytes, true}; });
+            auto bench = LinksBench();
+            bench.send(server.address(), 1, true);
+            THEN("the connection is closed and the send fails as invalid")
+            {
+                CHECK(bench.waitFailure() == LinkFailure::Invalid);
+                CHECK(bench.answers.empty());
+            }
+        }
+    }
+    GIVEN("many leafs whose answers are each within the limit and don't end")
+    {
+        constexpr auto connections = 12;
+        const auto part = ok + "Content-Length: 8000000\r\n\r\n" + std::string(7'000'000, 'x');
+        auto server = ScriptedServer([&](std::string_view) { return Scripted{part, false}; });
+        auto bench = LinksBench();
+        for (auto link = 1; link <= connections; ++link)
+            bench.send(server.address(), static_cast<std::uint64_t>(link), true);
+        THEN("those beyond the limit of all answers together fail")
+        {
+            CHECK(bench.waitFailure() == LinkFailure::Invalid);
+            bench.closeAll(connections);
+            server.closeConnections();
+        }
+    }
+}
