Bound the age of what is read from the store

Cause: a watch that began while the store told watches nothing, just before it dropped its history, got no reply for its whole 25 s, and silence counted as no change. A trace of the reader's calls shows it; a revision that goes back and a silent connection are ruled out (docs/incidents/old-desired-state.md).

Change: watches of routes, evacuations and leafs wait for 1.8 s at most, and a missing reply is a failure 0.8 s later, so that a copy is at most 2.8 s old while the store answers. The age is a metric.

--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
-// The store ends a watch without a change after this time. A connection that fails silently is
-// found sooner, by the transport's keep-alive.
-constexpr Duration storeWatchWait = std::chrono::seconds(25);
+// The store ends a watch without a change after this time. A watch may hear nothing though changes
+// are made, without a sign, if it begins while the store drops its history. Changes of the kinds
+// that requests depend on must be in force within 3 s: the wait, the time for the reply and a
+// retry.
+constexpr Duration boundedWatchWait = std::chrono::milliseconds(1800);
+constexpr Duration boundedReplyTimeout = std::chrono::milliseconds(800);
+// For the list of instances, which changes seldom and may be older.
+constexpr Duration unboundedWatchWait = std::chrono::seconds(25);
 // After a failure, a watch asks the store to reply at once: the reply shows that the store is back,
 // and the other channels continue.
 constexpr Duration recoveryWatchWait = std::chrono::milliseconds(1);
@@ -92,6 +97,8 @@
         return call;
     call.address = sourceAddress(reader);
     const auto kind = static_cast<ObjectKind>(index);
+    const auto isBounded = kind != ObjectKind::Instances;
+    const auto storeWatchWait = isBounded ? boundedWatchWait : unboundedWatchWait;
     const auto usualWait = reader.relay ? relayWatchWait : storeWatchWait;
     // A relay that no other instance has called yet needs the full time to get a reply from the
     // store itself.
@@ -101,7 +108,8 @@
         call.timeout = listTimeout(channel);
     } else {
         call.request = WatchObjects{kind, reader.cache.kinds.at(index).revision, maxWait};
-        const auto timeout = channel.failures > 0 ? listTimeout(channel) : maxCallTimeout;
+        const auto usualTimeout = isBounded ? boundedReplyTimeout : maxCallTimeout;
+        const auto timeout = channel.failures > 0 ? listTimeout(channel) : usualTimeout;
         call.timeout = maxWait + (reader.relay ? relayReplyTimeout : timeout);
     }
     return call;
@@ -447,6 +455,10 @@
         return onReply(reader, index, CallFailed{StoreFailure::Stale}, now, actions);
     if (!failed)
         recordSuccess(reader, index, now, actions);
+    auto &channel = channelAt(reader, index);
+    if (std::holds_alternative<ObjectsListed>(reply.content)
+        || std::holds_alternative<ObjectsChanged>(reply.content))
+        channel.confirmedAt = channel.callStartedAt - reply.storeAge.value_or(Duration());
     std::visit([&](const auto &content) { onReply(reader, index, content, now, actions); },
                reply.content);
 }
@@ -551,6 +563,12 @@
         probe.callAt = now;
 }
 
+auto copyAge(const StoreReader &reader, ObjectKind kind, TimePoint now) -> std::optional<Duration>
+{
+    const auto &confirmedAt = reader.channels.at(static_cast<std::size_t>(kind)).confirmedAt;
+    return confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt;
+}
+
 auto storeAge(const StoreReader &reader, TimePoint now) -> std::optional<Duration>
 {
     if (!reader.storeConfirmedAt)
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -149,6 +149,9 @@
     bool blocked = false; // waits until a call to the store succeeds on another channel
     std::optional<TimePoint> callAt; // of the next call
     TimePoint callStartedAt = {};
+    // The copy holds all changes up to then: the start of the latest call that was answered with
+    // objects, less the store age that a relay stated.
+    std::optional<TimePoint> confirmedAt;
     Duration retryDelay = {}; // after the latest failure
     std::uint32_t failures = 0; // in a row
     // Of the object channels:
@@ -199,6 +202,9 @@
 // True once every kind of object that requests depend on has been listed completely.
 auto hasReadState(const StoreReader &reader) -> bool;
 
+// Time since the copy of a kind was last confirmed; absent before the first time.
+auto copyAge(const StoreReader &reader, ObjectKind kind, TimePoint now) -> std::optional<Duration>;
+
 // Records that another instance reads from this one. From now on the store is probed regularly, so
 // that the replies to others have a small store age.
 auto recordRelayCall(StoreReader &reader, TimePoint now) -> void;
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -179,7 +179,8 @@
         return listener.respond(caller, HTTP_STATUS_NOT_FOUND, {}, {});
     const auto type = HttpHeader{"Content-Type", "text/plain; version=0.0.4"};
     listener.respond(caller, HTTP_STATUS_OK, {&type, 1},
-                     writeMetrics(this->metrics, this->forwarder.state(), this->store.callCount()));
+                     writeMetrics(this->metrics, this->forwarder.state(), this->store.state(),
+                                  this->store.callCount(), decisionNow()));
 }
 
 auto Front::beginStop(std::function<auto(bool)->void> stopped) -> void
--- a/front/frontmetrics.cpp
+++ b/front/frontmetrics.cpp
@@ -40,6 +40,10 @@
                            .Name("crocusreach_forward_state")
                            .Help("What the front knows and carries now.")
                            .Register(this->registry);
+    this->copyAge = &BuildGauge()
+                             .Name("crocusreach_store_copy_age_seconds")
+                             .Help("Time since the copy of a kind of object was last confirmed.")
+                             .Register(this->registry);
 }
 
 auto recordEnd(FrontMetrics &metrics, const CallSummary &summary) -> void
@@ -48,8 +52,8 @@
             .Observe(std::chrono::duration<double>(summary.elapsed).count());
 }
 
-auto writeMetrics(FrontMetrics &metrics, const Forwarder &forwarder, std::uint64_t storeCalls)
-        -> std::string
+auto writeMetrics(FrontMetrics &metrics, const Forwarder &forwarder, const StoreReader &reader,
+                  std::uint64_t storeCalls, TimePoint now) -> std::string
 {
     const auto &counters = forwarder.counters;
     const auto event = [&](const char *name, std::uint64_t total) {
@@ -82,6 +86,12 @@
     gauge("sends_in_progress", forwarder.sends.size());
     gauge("leaf_connections", forwarder.connections.size());
     gauge("instances", forwarder.share.instances);
+    for (std::size_t index = 0; index < objectKindCount; ++index) {
+        const auto kind = static_cast<ObjectKind>(index);
+        if (const auto age = copyAge(reader, kind, now))
+            metrics.copyAge->Add({{"kind", std::string(toString(kind))}})
+                    .Set(std::chrono::duration<double>(*age).count());
+    }
     return prometheus::TextSerializer().Serialize(metrics.registry.Collect());
 }
 
--- a/front/frontmetrics.h
+++ b/front/frontmetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/forwarder.h"
+#include "core/storereader.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -22,12 +23,14 @@
     prometheus::Family<prometheus::Counter> *events = nullptr;
     prometheus::Family<prometheus::Counter> *ends = nullptr;
     prometheus::Family<prometheus::Gauge> *state = nullptr;
+    prometheus::Family<prometheus::Gauge> *copyAge = nullptr; // seconds, by kind of object
 };
 
 auto recordEnd(FrontMetrics &metrics, const forward::CallSummary &summary) -> void;
 
-// The text format of Prometheus, with the forwarder's counters as of now.
+// The text format of Prometheus, with the forwarder's counters and the age of the copies as of now.
 auto writeMetrics(FrontMetrics &metrics, const forward::Forwarder &forwarder,
-                  std::uint64_t storeCalls) -> std::string;
+                  const forward::StoreReader &reader, std::uint64_t storeCalls, TimePoint now)
+        -> std::string;
 
 } // namespace crocusreach
--- a/tests/front_path.cpp
+++ b/tests/front_path.cpp
@@ -172,6 +172,8 @@
                   != std::string::npos);
             CHECK(text.find("crocusreach_forward_events_total{event=\"send\"} 1")
                   != std::string::npos);
+            CHECK(text.find("crocusreach_store_copy_age_seconds{kind=\"routes\"}")
+                  != std::string::npos);
         }
     }
     WHEN("the front is asked to stop while a request runs")
