Tell how old a front's copy of the store is

Change: events 217 and 218 when a copy is not confirmed for 3 s and when it is again, version_age_ms in the lines of a request, and explain names a version that may have been outdated.

--- a/base/log.h
+++ b/base/log.h
@@ -45,6 +45,8 @@
     ChangeRefused = 214,
     LeafLeaving = 215,
     LeafLimitChanged = 216,
+    CopyOutdated = 217,
+    CopyConfirmed = 218,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -130,7 +130,7 @@
 
 } // namespace
 
-auto refuse(Forwarder &forwarder, const RequestArrived &event, const Route *route,
+auto refuse(Forwarder &forwarder, const RequestArrived &event, TimePoint now, const Route *route,
             LocalStatus status, CallEnd end, std::vector<ForwardAction> &actions) -> void
 {
     auto answer = LocalAnswer{status, {}};
@@ -142,6 +142,7 @@
     summary.requestId = event.request->id;
     summary.route = route == nullptr ? std::string() : route->name;
     summary.version = forwarder.table == nullptr ? 0 : forwarder.table->version;
+    summary.stateAge = stateAgeOf(forwarder, now);
     summary.end = end;
     summary.timeLeftAtArrival = event.request->timeLeft;
     actions.emplace_back(CallEnded{std::move(summary)});
@@ -168,15 +169,18 @@
            std::vector<ForwardAction> &actions) -> void
 {
     if (forwarder.table == nullptr)
-        return refuse(forwarder, event, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes, actions);
+        return refuse(forwarder, event, now, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes,
+                      actions);
     const auto *route = findRoute(*forwarder.table, event.request->host, event.request->target);
     if (route == nullptr)
-        return refuse(forwarder, event, nullptr, LocalStatus::NoRoute, CallEnd::NoRoute, actions);
+        return refuse(forwarder, event, now, nullptr, LocalStatus::NoRoute, CallEnd::NoRoute,
+                      actions);
     checkReachability(forwarder, now);
     if (isCutOff(forwarder.reachability, now) && !tryStartTrial(forwarder.reachability, now))
-        return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::CutOff, actions);
+        return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::CutOff, actions);
     if (forwarder.calls.size() >= callLimit || forwarder.waiting.size() >= waitingCallLimit)
-        return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::Overloaded, actions);
+        return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::Overloaded,
+                      actions);
     auto owned = std::make_unique<Call>();
     auto &call = *owned;
     call.id = event.call;
@@ -191,13 +195,14 @@
             = arrivedAt + route->targetLatency - call.elapsedBeforeArrival - answerMargin;
     call.parts = buildParts(*call.stats, *route);
     if (call.deadline <= now)
-        return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::TimedOut, actions);
+        return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::TimedOut,
+                      actions);
     // A query that can't reach enough shards is refused before its first send.
     const auto isServed = [&](std::string_view service) {
         return hasUsableLeaf(forwarder.leafs, service, now);
     };
     if (!canReachRequiredParts(call, isServed))
-        return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::NoLeaf, actions);
+        return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::NoLeaf, actions);
     const auto isAnswering = [&](std::string_view service) {
         return hasResponsiveLeaf(forwarder.leafs, service, forwarder.reachability, now);
     };
@@ -206,7 +211,7 @@
         // While the instance is isolated, probes test the network path, so callers' requests aren't
         // used for that.
         if (isIsolated(forwarder.reachability, now) || !tryStartTrial(*call.stats, now))
-            return refuse(forwarder, event, route, LocalStatus::NotRun, CallEnd::SilentLeafs,
+            return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::SilentLeafs,
                           actions);
     }
     forwarder.calls.emplace(call.id, std::move(owned));
@@ -232,7 +237,8 @@
     std::erase_if(forwarder.heldRequests, [&](const HeldRequest &item) {
         const auto ended = forwarder.stateUnavailable || item.heldUntil <= now;
         if (ended)
-            refuse(forwarder, item.event, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes, actions);
+            refuse(forwarder, item.event, now, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes,
+                   actions);
         return ended;
     });
 }
--- a/core/forwardadmit.h
+++ b/core/forwardadmit.h
@@ -10,7 +10,7 @@
 namespace crocusreach::forward {
 
 // Refuses a request. The route may be null.
-auto refuse(Forwarder &forwarder, const RequestArrived &event, const Route *route,
+auto refuse(Forwarder &forwarder, const RequestArrived &event, TimePoint now, const Route *route,
             LocalStatus status, CallEnd end, std::vector<ForwardAction> &actions) -> void;
 
 // Starts the call of a request, which may have been held since its arrival, or refuses it.
--- a/core/forwardcalls.cpp
+++ b/core/forwardcalls.cpp
@@ -15,6 +15,7 @@
     summary.requestId = call.request->id;
     summary.route = call.route->name;
     summary.version = call.table->version;
+    summary.stateAge = stateAgeOf(forwarder, now);
     summary.end = end;
     summary.elapsed = now - call.arrivedAt;
     summary.timeLeftAtArrival = call.request->timeLeft;
@@ -66,6 +67,12 @@
     action.answer = std::move(answer);
 }
 
+auto stateAgeOf(const Forwarder &forwarder, TimePoint now) -> std::optional<Duration>
+{
+    const auto &confirmedAt = forwarder.tableConfirmedAt;
+    return confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt;
+}
+
 auto endCall(Forwarder &forwarder, Call &call, CallEnd end, TimePoint now,
              std::vector<ForwardAction> &actions) -> void
 {
--- a/core/forwardcalls.h
+++ b/core/forwardcalls.h
@@ -10,6 +10,9 @@
 
 auto answerCaller(CallId call, CallAnswer &&answer, std::vector<ForwardAction> &actions) -> void;
 
+// Time since the known desired state was last confirmed; absent before the first time.
+auto stateAgeOf(const Forwarder &forwarder, TimePoint now) -> std::optional<Duration>;
+
 // Removes the call and reports how it ended.
 auto endCall(Forwarder &forwarder, Call &call, CallEnd end, TimePoint now,
              std::vector<ForwardAction> &actions) -> void;
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -45,11 +45,12 @@
 {
     ++forwarder.counters.requests;
     if (forwarder.refusesNewRequests)
-        return refuse(forwarder, event, nullptr, LocalStatus::NotRun, CallEnd::Stopping, actions);
+        return refuse(forwarder, event, now, nullptr, LocalStatus::NotRun, CallEnd::Stopping,
+                      actions);
     if (forwarder.stateRead)
         return admit(forwarder, event, now, now, actions);
     if (forwarder.stateUnavailable || !holdRequest(forwarder, event, now))
-        refuse(forwarder, event, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes, actions);
+        refuse(forwarder, event, now, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes, actions);
 }
 
 auto onEvent(Forwarder &forwarder, const CallerLeft &event, TimePoint now,
@@ -298,6 +299,12 @@
     forwarder.table = event.table;
 }
 
+auto onEvent(Forwarder &forwarder, const RoutesConfirmed &event, TimePoint /*now*/,
+             std::vector<ForwardAction> & /*actions*/) -> void
+{
+    forwarder.tableConfirmedAt = event.at;
+}
+
 auto onEvent(Forwarder &forwarder, const LeafsRegistered &event, TimePoint now,
              std::vector<ForwardAction> &actions) -> void
 {
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -91,6 +91,7 @@
     ForwarderSettings settings;
     ForwarderCounters counters;
     RouteTablePtr table;
+    std::optional<TimePoint> tableConfirmedAt;
     LeafTable leafs;
     InstanceShare share;
     Reachability reachability;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -127,6 +127,12 @@
     RouteTablePtr table;
 };
 
+// The known desired state was the newest one at that time.
+struct RoutesConfirmed
+{
+    TimePoint at = {};
+};
+
 struct LeafsRegistered
 {
     std::vector<LeafRecord> leafs;
@@ -171,9 +177,9 @@
 
 using ForwardEvent
         = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, ConnectionOpened,
-                       ConnectionClosed, RoutesChanged, LeafsRegistered, LeafsRemoved,
-                       DomainsEvacuated, InstancesCounted, SettingsChanged, NewRequestsRefused,
-                       StateRead, StateUnavailable, ForwarderTick>;
+                       ConnectionClosed, RoutesChanged, RoutesConfirmed, LeafsRegistered,
+                       LeafsRemoved, DomainsEvacuated, InstancesCounted, SettingsChanged,
+                       NewRequestsRefused, StateRead, StateUnavailable, ForwarderTick>;
 
 // Actions.
 
@@ -257,6 +263,8 @@
     std::string requestId;
     std::string route;
     std::uint64_t version = 0; // of the desired state that applied
+    // Since that state was last known to be the newest one, when the call ended.
+    std::optional<Duration> stateAge;
     CallEnd end = CallEnd::Complete;
     Duration elapsed = {};
     Duration timeLeftAtArrival = {}; // as the caller stated
--- a/core/requestdiagnosis.cpp
+++ b/core/requestdiagnosis.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t silenceLatencyMultiple = 10;
 // From this many silent leafs of one failure domain, the domain is reported instead of a leaf.
 constexpr std::size_t minSilentLeafsOfDomain = 3;
+// Changes of the desired state are in force within this time.
+constexpr Duration maxStateAge = std::chrono::seconds(3);
 
 auto milliseconds(Duration duration) -> std::string
 {
@@ -285,9 +287,7 @@
                          " and the log has no line of a failed send."}));
 }
 
-} // namespace
-
-auto diagnoseRequest(const RequestHistory &history) -> Finding
+auto locateFault(const RequestHistory &history) -> Finding
 {
     if (!history.summary)
         return makeFinding(
@@ -330,4 +330,18 @@
     return diagnoseEnded(history, summary);
 }
 
+} // namespace
+
+auto diagnoseRequest(const RequestHistory &history) -> Finding
+{
+    auto finding = locateFault(history);
+    const auto age = history.summary ? history.summary->stateAge : std::nullopt;
+    if (age && *age > maxStateAge)
+        finding.description
+                += concatenate({" Version ", std::to_string(history.summary->version),
+                                " of the desired state was last confirmed ", milliseconds(*age),
+                                " before and may have been outdated."});
+    return finding;
+}
+
 } // namespace crocusreach::forward
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -14,6 +14,8 @@
 // retry.
 constexpr Duration boundedWatchWait = std::chrono::milliseconds(1800);
 constexpr Duration boundedReplyTimeout = std::chrono::milliseconds(800);
+// A copy that is older than this may lack a change that must be in force.
+constexpr Duration maxCopyAge = std::chrono::seconds(3);
 // For the list of instances, which changes seldom and may be older.
 constexpr Duration unboundedWatchWait = std::chrono::seconds(25);
 // After a failure, a watch asks the store to reply at once: the reply shows that the store is back,
@@ -444,6 +446,49 @@
     }
 }
 
+auto recordConfirmation(StoreReader &reader, std::size_t index, TimePoint confirmedAt,
+                        TimePoint now, std::vector<StoreReaderAction> &actions) -> void
+{
+    auto &channel = channelAt(reader, index);
+    if (std::exchange(channel.outdatedReported, false))
+        actions.emplace_back(StoreNotification{StoreNotificationKind::CopyConfirmed,
+                                               static_cast<Channel>(index),
+                                               {},
+                                               sourceAddress(reader),
+                                               now - *channel.confirmedAt});
+    channel.confirmedAt = confirmedAt;
+    if (static_cast<Channel>(index) == Channel::Routes)
+        actions.emplace_back(ForwardEvent(RoutesConfirmed{confirmedAt}));
+}
+
+// When the copy of a channel counts as outdated unless it is confirmed; nothing if it does already,
+// has not been read yet, or may be older.
+auto outdatedAt(const StoreReader &reader, std::size_t index) -> std::optional<TimePoint>
+{
+    const auto &channel = reader.channels.at(index);
+    const auto isBounded = index < static_cast<std::size_t>(Channel::Instances);
+    if (!isBounded || !channel.confirmedAt || channel.outdatedReported)
+        return {};
+    return *channel.confirmedAt + maxCopyAge;
+}
+
+auto reportOutdatedCopies(StoreReader &reader, TimePoint now,
+                          std::vector<StoreReaderAction> &actions) -> void
+{
+    for (std::size_t index = 0; index < storeChannelCount; ++index) {
+        const auto at = outdatedAt(reader, index);
+        if (!at || now < *at)
+            continue;
+        auto &channel = channelAt(reader, index);
+        channel.outdatedReported = true;
+        actions.emplace_back(StoreNotification{StoreNotificationKind::CopyOutdated,
+                                               static_cast<Channel>(index),
+                                               {},
+                                               sourceAddress(reader),
+                                               now - *channel.confirmedAt});
+    }
+}
+
 auto onEvent(StoreReader &reader, const StoreReply &reply, TimePoint now,
              std::vector<StoreReaderAction> &actions) -> void
 {
@@ -455,12 +500,15 @@
         return onReply(reader, index, CallFailed{StoreFailure::Stale}, now, actions);
     if (!failed)
         recordSuccess(reader, index, now, actions);
-    auto &channel = channelAt(reader, index);
-    if (std::holds_alternative<ObjectsListed>(reply.content)
-        || std::holds_alternative<ObjectsChanged>(reply.content))
-        channel.confirmedAt = channel.callStartedAt - reply.storeAge.value_or(Duration());
+    const auto isWatchReply = std::holds_alternative<ObjectsChanged>(reply.content);
+    const auto hasObjects = isWatchReply || std::holds_alternative<ObjectsListed>(reply.content);
+    // A watch is answered at the moment of its reply, a list at any time during the call.
+    const auto confirmedAt = (isWatchReply ? now : channelAt(reader, index).callStartedAt)
+                             - reply.storeAge.value_or(Duration());
     std::visit([&](const auto &content) { onReply(reader, index, content, now, actions); },
                reply.content);
+    if (hasObjects)
+        recordConfirmation(reader, index, confirmedAt, now, actions);
 }
 
 auto onEvent(StoreReader &reader, const StoreReaderTick & /*tick*/, TimePoint now,
@@ -468,6 +516,7 @@
 {
     considerRelays(reader, now, actions);
     retryPreferredRelay(reader, now, actions);
+    reportOutdatedCopies(reader, now, actions);
     for (std::size_t index = 0; index < storeChannelCount; ++index) {
         auto &channel = channelAt(reader, index);
         if (!channel.callAt || now < *channel.callAt)
@@ -543,6 +592,10 @@
         if (channel.callAt)
             wake = std::min(wake.value_or(TimePoint::max()), *channel.callAt);
     }
+    for (std::size_t index = 0; index < storeChannelCount; ++index) {
+        if (const auto at = outdatedAt(reader, index))
+            wake = std::min(wake.value_or(TimePoint::max()), *at);
+    }
     return wake;
 }
 
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -120,7 +120,13 @@
 
 // Notifications for the log.
 
-enum class StoreNotificationKind : std::uint8_t { Unreachable, Reachable, SourceChanged };
+enum class StoreNotificationKind : std::uint8_t {
+    Unreachable,
+    Reachable,
+    SourceChanged,
+    CopyOutdated, // a copy was not confirmed in time
+    CopyConfirmed, // after that
+};
 
 struct StoreNotification
 {
@@ -128,6 +134,7 @@
     Channel channel = Channel::Routes;
     std::optional<StoreFailure> failure;
     std::string source; // address of a relay; empty: the store
+    Duration age = {}; // of the copy, for those about one; before it was confirmed
 };
 
 auto toString(Channel channel) -> std::string_view;
@@ -149,9 +156,10 @@
     bool blocked = false; // waits until a call to the store succeeds on another channel
     std::optional<TimePoint> callAt; // of the next call
     TimePoint callStartedAt = {};
-    // The copy holds all changes up to then: the start of the latest call that was answered with
-    // objects, less the store age that a relay stated.
+    // The copy holds all changes up to then: the latest reply to a watch, or the start of the
+    // latest list, less the store age that a relay stated.
     std::optional<TimePoint> confirmedAt;
+    bool outdatedReported = false; // and not confirmed since
     Duration retryDelay = {}; // after the latest failure
     std::uint32_t failures = 0; // in a row
     // Of the object channels:
--- a/formats/requestlog.cpp
+++ b/formats/requestlog.cpp
@@ -107,6 +107,8 @@
     summary.end = *end;
     summary.route = fieldOf(line, "route");
     summary.version = toNumber(fieldOf(line, "version"));
+    if (const auto age = parseNumber<std::int64_t>(fieldOf(line, "version_age_ms")))
+        summary.stateAge = std::chrono::milliseconds(*age);
     summary.elapsed = millisecondsOf(line, "spent_ms");
     summary.timeLeftAtArrival = millisecondsOf(line, "time_left_ms");
     summary.timeAllowed = millisecondsOf(line, "allowed_ms");
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -62,6 +62,7 @@
             {"end", std::string(toString(summary.end))},
             {"route", summary.route},
             {"version", std::to_string(summary.version)},
+            {"version_age_ms", summary.stateAge ? millisecondsText(*summary.stateAge) : "none"},
             {"spent_ms", millisecondsText(summary.elapsed)},
             {"time_left_ms", millisecondsText(summary.timeLeftAtArrival)},
             {"allowed_ms", millisecondsText(summary.timeAllowed)},
@@ -147,6 +148,14 @@
         return logEvent(LogEvent::StoreReachable, {{"source", source}, {"channel", channel}});
     case StoreNotificationKind::SourceChanged:
         return logEvent(LogEvent::SourceChanged, {{"source", source}});
+    case StoreNotificationKind::CopyOutdated:
+        return logEvent(LogEvent::CopyOutdated, {{"source", source},
+                                                 {"channel", channel},
+                                                 {"age_ms", millisecondsText(notification.age)}});
+    case StoreNotificationKind::CopyConfirmed:
+        return logEvent(LogEvent::CopyConfirmed, {{"source", source},
+                                                  {"channel", channel},
+                                                  {"age_ms", millisecondsText(notification.age)}});
     }
 }
 
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -92,6 +92,16 @@
         return {};
     }
 
+    auto countNotifications(StoreNotificationKind kind, Channel channel) const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(
+                this->actions.begin(), this->actions.end(), [kind, channel](const auto &item) {
+                    const auto *const notification = std::get_if<StoreNotification>(&item);
+                    return notification != nullptr && notification->kind == kind
+                           && notification->channel == channel;
+                }));
+    }
+
     // The first event of this type for the forwarder.
     template <typename Event>
     auto findEvent() const -> std::optional<Event>
@@ -222,6 +232,17 @@
                 CHECK(isList(*fixture.takeCallOn(channel)));
                 CHECK(fixture.now - began < 3s);
             }
+            THEN("it is reported as outdated once it is 3 s old, and again when it is confirmed")
+            {
+                CHECK(fixture.countNotifications(StoreNotificationKind::CopyOutdated, channel)
+                      == 0);
+                fixture.advanceTime(500ms);
+                CHECK(fixture.countNotifications(StoreNotificationKind::CopyOutdated, channel)
+                      == 1);
+                fixture.deliver(channel, ObjectsListed{{}, {}, 20});
+                CHECK(fixture.countNotifications(StoreNotificationKind::CopyConfirmed, channel)
+                      == 1);
+            }
             THEN("its copy counts as old until then")
             {
                 const auto kind = static_cast<ObjectKind>(channel);
@@ -478,3 +499,51 @@
         }
     }
 }
+
+// Guards against a follower that keeps an old copy because its relay does, while the relay's other
+// calls to the store succeed.
+SCENARIO("a relay's watch hears nothing while a follower reads from it")
+{
+    auto relay = ReaderFixture();
+    relay.start({}, true);
+    relay.takeCalls();
+    relay.completeLists(20);
+    recordRelayCall(relay.reader, relay.now);
+    relay.takeCalls();
+    auto table = std::make_shared<RouteTable>();
+    table->version = 8;
+    auto changed = StoredObject();
+    changed.name = "main";
+    changed.revision = 12;
+    changed.content = RouteTablePtr(table);
+    const auto changedAt = relay.now;
+    const auto answersFollower = [&] {
+        const auto &cache = relay.reader.cache.kinds.at(0);
+        return !changesAfter(cache, 10).empty();
+    };
+    WHEN("the routes change at once")
+    {
+        // Probes and other watches are answered all the while.
+        while (!answersFollower() && relay.now < changedAt + 10s) {
+            relay.advanceTime(100ms);
+            for (const auto &call : relay.takeCalls()) {
+                const auto isRetry = call.channel == Channel::Routes;
+                if (isRetry)
+                    relay.deliver(Channel::Routes, ObjectsChanged{{changed}, 12});
+                else if (call.channel == Channel::Probe)
+                    relay.deliver(Channel::Probe, CallSucceeded());
+            }
+            if (relay.now >= changedAt + 2600ms && !answersFollower()
+                && relay.reader.channels.at(0).running)
+                relay.deliver(Channel::Routes, CallFailed{StoreFailure::Unreachable});
+        }
+        THEN("the follower's next watch returns the change within 3 s")
+        {
+            CHECK(relay.now - changedAt < 3s);
+        }
+        THEN("the relay's store age alone doesn't show that the copy was old")
+        {
+            CHECK(storeAge(relay.reader, relay.now) < 1700ms);
+        }
+    }
+}
--- a/tests/front_explain.cpp
+++ b/tests/front_explain.cpp
@@ -406,3 +406,29 @@
         }
     }
 }
+
+SCENARIO("the explanation of a request names a desired state that may have been outdated")
+{
+    auto history = RequestHistory();
+    history.summary = CallSummary();
+    history.summary->end = CallEnd::NoRoute;
+    history.summary->version = 5;
+    GIVEN("a state that was confirmed too long ago")
+    {
+        history.summary->stateAge = 5200ms;
+        THEN("its version and age are told")
+        {
+            const auto text = diagnoseRequest(history).description;
+            CHECK(text.find("Version 5 of the desired state was last confirmed 5200 ms")
+                  != std::string::npos);
+        }
+    }
+    GIVEN("a state that was confirmed lately")
+    {
+        history.summary->stateAge = 900ms;
+        THEN("its age isn't told")
+        {
+            CHECK(diagnoseRequest(history).description.find("confirmed") == std::string::npos);
+        }
+    }
+}
