Send nothing to a leaf during the pause that it asks for

Cause: Retry-After of a leaf's answer was only passed on, by the class of fault of leaving-leafs: a statement of a leaf that no decision asks for.

Change: core/leafstatements keeps until when the leaf's process wants nothing from this instance, ten minutes at most, and the choice of a leaf asks it for every send, beside the rate limit. A request whose service has no leaf that can be used before the caller's time is over is refused at once instead of waiting (event 219, counter leaf_paused). Lint findings of the tests are mended.

--- a/base/log.cpp
+++ b/base/log.cpp
@@ -96,6 +96,8 @@
          "what is known of a kind of object was not confirmed in time and may be old"},
         {LogEvent::CopyConfirmed, "copy_confirmed", Severity::Info,
          "what is known of a kind of object is the newest again"},
+        {LogEvent::LeafPaused, "leaf_paused", Severity::Info,
+         "a leaf refused a request and wants no others of this instance for a time"},
         {LogEvent::PeerLinkOpened, "peer_link_opened", Severity::Info,
          "the stream to a peer is open"},
         {LogEvent::PeerLinkLost, "peer_link_lost", Severity::Warning,
--- a/base/log.h
+++ b/base/log.h
@@ -47,6 +47,7 @@
     LeafLimitChanged = 216,
     CopyOutdated = 217,
     CopyConfirmed = 218,
+    LeafPaused = 219,
     PeerLinkOpened = 300,
     PeerLinkLost = 301,
     PeerLinkSilent = 302,
--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -199,7 +199,7 @@
                       actions);
     // A query that can't reach enough shards is refused before its first send.
     const auto isServed = [&](std::string_view service) {
-        return hasUsableLeaf(forwarder.leafs, service, now);
+        return canSendInTime(forwarder, call, service, now);
     };
     if (!canReachRequiredParts(call, isServed))
         return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::NoLeaf, actions);
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -125,6 +125,18 @@
                                           answer.rateLimit});
 }
 
+auto recordPause(Forwarder &forwarder, const Send &send, const LeafAnswer &answer, TimePoint now,
+                 std::vector<ForwardAction> &actions) -> void
+{
+    auto &leaf = leafAt(forwarder.leafs, send.leaf);
+    if (answer.pause <= Duration() || !isOfCurrentProcess(leaf, send, answer))
+        return;
+    applyPause(leaf.statements, answer.pause, now);
+    ++forwarder.counters.pauses;
+    actions.emplace_back(
+            LeafPaused{leaf.record.id, leaf.record.service, leaf.record.domain, answer.pause});
+}
+
 // Records that a leaf is about to exit.
 auto recordLeaving(Forwarder &forwarder, const Send &send, const LeafAnswer &answer,
                    std::string_view requestId, TimePoint now, std::vector<ForwardAction> &actions)
@@ -238,6 +250,7 @@
                                    : std::string_view(call->second->request->id);
     recordLeaving(forwarder, send, event.answer, requestId, now, actions);
     recordRateLimit(forwarder, send, event.answer, now, actions);
+    recordPause(forwarder, send, event.answer, now, actions);
     recordDomainAnswer(forwarder.reachability, leaf.record.domain, now);
     if (!event.isConnectionReusable || !leaf.listed)
         closeConnection(forwarder, send.connection, actions);
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -40,6 +40,7 @@
     std::uint64_t unservable = 0; // calls for which too few leafs answer
     std::uint64_t leavingLeafs = 0; // leafs that stated that they are about to exit
     std::uint64_t limitChanges = 0; // of the rates that leafs state
+    std::uint64_t pauses = 0; // that leafs asked for
     std::uint64_t overdue = 0; // sends that got no answer before their timeout
     std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::Count)> ends = {};
 };
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -72,6 +72,7 @@
     bool leafLeaves = false; // the answering leaf states that it is about to exit
     // Requests a second that the answering leaf takes from all instances together, if it states it.
     std::optional<double> rateLimit;
+    Duration pause = {}; // the answering leaf wants no requests of this instance for that long
     std::vector<HeaderField> headers; // only those that are forwarded to the caller
     std::string body;
 };
@@ -351,8 +352,17 @@
     std::optional<double> perSecond; // from all instances together
 };
 
+// A leaf refused a request and wants no others of this instance for a time.
+struct LeafPaused
+{
+    std::string leaf;
+    std::string service;
+    std::string domain; // of the leaf
+    Duration pause = {};
+};
+
 using ForwardAction
         = std::variant<SendToLeaf, OpenConnection, CloseConnection, AnswerCaller, CallEnded,
-                       SendRepeated, SendFailureReport, LeafLeaving, LeafLimitChanged>;
+                       SendRepeated, SendFailureReport, LeafLeaving, LeafLimitChanged, LeafPaused>;
 
 } // namespace crocusreach::forward
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -123,7 +123,7 @@
         recordRequest(forwarder.retryBudgets[std::string(part.service)],
                       forwarder.settings.retryLimits, now);
         startSend(forwarder, call, partIndex, *placement, now, actions);
-    } else if (hasUsableLeaf(forwarder.leafs, part.service, now)) {
+    } else if (canSendInTime(forwarder, call, part.service, now)) {
         waitForLeaf(forwarder, call, part.service, now);
     } else {
         failPart(part, CallEnd::NoLeaf);
@@ -157,7 +157,7 @@
         return failPart(part, CallEnd::LeafFailure);
     const auto placement = placeRetry(forwarder, call, part, now);
     if (!placement) {
-        if (hasUsableLeaf(forwarder.leafs, part.service, now))
+        if (canSendInTime(forwarder, call, part.service, now))
             return waitForLeaf(forwarder, call, part.service, now);
         return failPart(part, CallEnd::NoLeaf);
     }
@@ -216,6 +216,13 @@
     forwarder.timers.push({at, kind, id});
 }
 
+auto canSendInTime(Forwarder &forwarder, const Call &call, std::string_view service, TimePoint now)
+        -> bool
+{
+    const auto next = findNextSend(forwarder.leafs, service, now);
+    return next && next->at < call.deadline;
+}
+
 auto addLeafTimer(Forwarder &forwarder, LeafNumber index, TimePoint at) -> void
 {
     auto &leaf = leafAt(forwarder.leafs, index);
--- a/core/forwardsend.h
+++ b/core/forwardsend.h
@@ -20,6 +20,10 @@
 
 auto addTimer(Forwarder &forwarder, TimePoint at, TimerKind kind, std::uint64_t id) -> void;
 
+// True if a leaf of the service may be sent the call's request before the call must end.
+auto canSendInTime(Forwarder &forwarder, const Call &call, std::string_view service, TimePoint now)
+        -> bool;
+
 // Decides again on waiting calls at the time when the leaf can be used again. Only the earliest
 // such timer of a leaf is kept.
 auto addLeafTimer(Forwarder &forwarder, LeafNumber index, TimePoint at) -> void;
--- a/core/leafstatements.cpp
+++ b/core/leafstatements.cpp
@@ -13,6 +13,10 @@
 // Requests a second. No leaf serves as many, and the numbers of the slots stay exact.
 constexpr double maxRateLimit = 1e6;
 
+// A leaf that asks for a longer pause is asked again after this time, so that a wrong value doesn't
+// take it out of service for good.
+constexpr Duration maxPause = std::chrono::minutes(10);
+
 auto ownRate(double perSecond, const RateShare &share) -> double
 {
     return std::clamp(usedLimitFraction * perSecond, minRateLimit, maxRateLimit)
@@ -34,9 +38,15 @@
     return changed;
 }
 
+auto applyPause(LeafStatements &statements, Duration pause, TimePoint now) -> void
+{
+    statements.pausedUntil = std::max(statements.pausedUntil, now + std::min(pause, maxPause));
+}
+
 auto nextSendAt(const LeafStatements &statements, TimePoint now) -> TimePoint
 {
-    return statements.rateLimit ? nextSendAt(statements.schedule, now) : now;
+    const auto from = std::max(now, statements.pausedUntil);
+    return statements.rateLimit ? nextSendAt(statements.schedule, from) : from;
 }
 
 auto isLeaving(const LeafStatements &statements) -> bool
--- a/core/leafstatements.h
+++ b/core/leafstatements.h
@@ -16,6 +16,7 @@
     std::optional<TimePoint> leavesAt; // it is about to exit, and gets no requests from then on
     std::optional<double> rateLimit; // requests a second that it takes from all instances together
     SendSchedule schedule; // of this instance's sends while there is a limit
+    TimePoint pausedUntil = {}; // it wants no requests of this instance until then
 };
 
 // What this instance may use of a rate limit that is stated for all instances together.
@@ -30,7 +31,10 @@
 auto applyRateLimit(LeafStatements &statements, std::optional<double> perSecond,
                     const RateShare &share, TimePoint now) -> bool;
 
-// The earliest time at which the rate limit allows a send.
+// Applies the pause that a leaf asks for when it refuses a request.
+auto applyPause(LeafStatements &statements, Duration pause, TimePoint now) -> void;
+
+// The earliest time at which the leaf's rate limit and its pause allow a send.
 auto nextSendAt(const LeafStatements &statements, TimePoint now) -> TimePoint;
 
 // True if the leaf has stated that it is about to exit. It still serves for the drain timeout.
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -124,6 +124,9 @@
                           [](const LeafLimitChanged &changed) {
                               logEvent(LogEvent::LeafLimitChanged, fieldsOf(changed));
                           },
+                          [](const LeafPaused &paused) {
+                              logEvent(LogEvent::LeafPaused, fieldsOf(paused));
+                          },
                           [](const LeafLeaving &leaving) {
                               logEvent(LogEvent::LeafLeaving, fieldsOf(leaving));
                           }},
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -118,6 +118,14 @@
             {"per_s", changed.perSecond ? std::to_string(*changed.perSecond) : "none"}};
 }
 
+auto fieldsOf(const LeafPaused &paused) -> std::vector<LogField>
+{
+    return {{"leaf", paused.leaf},
+            {"service", paused.service},
+            {"domain", paused.domain},
+            {"pause_ms", millisecondsText(paused.pause)}};
+}
+
 auto logLearned(const ForwardEvent &event) -> void
 {
     std::visit(
--- a/front/frontlog.h
+++ b/front/frontlog.h
@@ -18,6 +18,7 @@
 auto fieldsOf(const forward::CallSummary &summary) -> std::vector<LogField>;
 auto fieldsOf(const forward::SendRepeated &repeated) -> std::vector<LogField>;
 auto fieldsOf(const forward::LeafLimitChanged &changed) -> std::vector<LogField>;
+auto fieldsOf(const forward::LeafPaused &paused) -> std::vector<LogField>;
 auto fieldsOf(const forward::LeafLeaving &leaving) -> std::vector<LogField>;
 auto fieldsOf(const forward::SendFailureReport &failed) -> std::vector<LogField>;
 
--- a/front/frontmetrics.cpp
+++ b/front/frontmetrics.cpp
@@ -72,6 +72,7 @@
     event("invalid", counters.invalid);
     event("not_sent", counters.notSent);
     event("leaf_leaving", counters.leavingLeafs);
+    event("leaf_paused", counters.pauses);
     event("leaf_limit_changed", counters.limitChanges);
     event("overdue", counters.overdue);
     event("store_call", storeCalls);
--- a/tests/core_forwarder_statements.cpp
+++ b/tests/core_forwarder_statements.cpp
@@ -18,7 +18,7 @@
 auto answerLeaving(Fixture &fixture, const SendToLeaf &send,
                    LeafAnswerKind kind = LeafAnswerKind::Success) -> void
 {
-    auto content = fixture.answerContent(send, kind, kind == LeafAnswerKind::Success ? 200 : 503);
+    auto content = Fixture::answerContent(send, kind, kind == LeafAnswerKind::Success ? 200 : 503);
     content.leafLeaves = true;
     fixture.deliver(LeafAnswered{send.send, content, true, {}});
 }
@@ -172,7 +172,7 @@
         const auto running = fixture.takeSends().at(0);
         const auto waiting = fixture.receiveRequest(10s);
         REQUIRE(fixture.takeSends().empty());
-        auto content = fixture.answerContent(running, LeafAnswerKind::Success, 200);
+        auto content = Fixture::answerContent(running, LeafAnswerKind::Success, 200);
         content.leafLeaves = true;
         fixture.advanceTime(100ms);
         WHEN("another request occupies the connection beyond the drain timeout")
@@ -328,3 +328,102 @@
         }
     }
 }
+
+// Guards against requests to a leaf that has refused one and said for how long it wants no more.
+SCENARIO("a leaf that asks for a pause gets no requests until it is over")
+{
+    auto fixture = Fixture();
+    auto route = singleRoute(true);
+    route.timeout = 10s;
+    fixture.setRoute(route);
+    const auto entry = fixture.record("ledger", "a");
+    fixture.deliver(LeafsRegistered{{entry}});
+    const auto refuseWithPause = [&fixture](Duration pause) {
+        fixture.receiveRequest(10s);
+        const auto send = fixture.takeSends().at(0);
+        REQUIRE(send.leafId == "a");
+        auto content = Fixture::answerContent(send, LeafAnswerKind::NotRun, 503);
+        content.pause = pause;
+        fixture.deliver(LeafAnswered{send.send, content, true, {}});
+    };
+    GIVEN("another leaf")
+    {
+        fixture.addLeaf("ledger", "b", "muar-b");
+        refuseWithPause(5s);
+        fixture.answerAll();
+        THEN("it gets all first sends until the pause is over")
+        {
+            for (auto number = 0; number < 49; ++number) {
+                fixture.advanceTime(100ms);
+                CHECK(serveRequest(fixture) == "b");
+            }
+            fixture.removeLeaf("b");
+            CHECK(serveRequest(fixture).empty());
+            fixture.advanceTime(200ms);
+            CHECK(serveRequest(fixture) == "a");
+        }
+        WHEN("the other leaf refuses or is slow meanwhile")
+        {
+            fixture.receiveRequest();
+            const auto refused = fixture.takeSends().at(0);
+            fixture.receiveRequest();
+            fixture.takeSends();
+            fixture.answer(refused, LeafAnswerKind::NotRun, 503);
+            fixture.advanceTime(200ms);
+            THEN("neither a retry nor a hedge goes to the pausing leaf")
+            {
+                for (const auto &send : fixture.takeSends())
+                    CHECK(send.leafId == "b");
+            }
+        }
+        WHEN("a new process of the leaf registers under its id")
+        {
+            auto restarted = entry;
+            restarted.revision = 100;
+            restarted.startedAt = 2000;
+            fixture.deliver(LeafsRegistered{{restarted}});
+            fixture.removeLeaf("b");
+            THEN("the new process gets requests")
+            {
+                CHECK(serveRequest(fixture) == "a");
+            }
+        }
+    }
+    GIVEN("no other leaf")
+    {
+        WHEN("the pause ends before the caller's time")
+        {
+            refuseWithPause(2s);
+            const auto waiting = fixture.receiveRequest(10s);
+            THEN("requests wait for its end")
+            {
+                fixture.advanceTime(1900ms);
+                CHECK(fixture.takeSends().empty());
+                CHECK(fixture.answerOf(waiting) == nullptr);
+                fixture.advanceTime(200ms);
+                CHECK_FALSE(fixture.takeSends().empty());
+            }
+        }
+        WHEN("the pause ends after it")
+        {
+            refuseWithPause(30s);
+            const auto call = fixture.receiveRequest(10s);
+            THEN("requests are refused at once as not run, with a time to come back")
+            {
+                const auto *own = fixture.answerAs<LocalAnswer>(call);
+                REQUIRE(own != nullptr);
+                CHECK(own->status == LocalStatus::NotRun);
+                CHECK(own->retryAfter);
+            }
+        }
+        WHEN("the leaf asks for a pause of days")
+        {
+            refuseWithPause(100h);
+            fixture.advanceTime(10min);
+            THEN("it is asked again after ten minutes")
+            {
+                CHECK(serveRequest(fixture) == "a");
+            }
+        }
+    }
+}
--- a/tests/forwarderfixture.h
+++ b/tests/forwarderfixture.h
@@ -49,6 +49,16 @@
         this->deliver(LeafsRegistered{{record(service, id, domain)}});
     }
 
+    // Its entry says that it drains, so that it gets nothing from now on.
+    auto removeLeaf(const std::string &id) -> void
+    {
+        const auto index = this->forwarder.leafs.byId.at(id);
+        auto entry = leafAt(this->forwarder.leafs, index).record;
+        entry.draining = true;
+        entry.revision += 1000;
+        this->deliver(LeafsRegistered{{entry}});
+    }
+
     auto record(const std::string &service, const std::string &id,
                 const std::string &domain = "muar-a") -> LeafRecord
     {
--- a/tests/front_links.cpp
+++ b/tests/front_links.cpp
@@ -341,7 +341,9 @@
     for (const auto &[name, bytes] : answers) {
         GIVEN(name)
         {
-            auto server = ScriptedServer([&](std::string_view) { return Scripted{bytes, true}; });
+            auto server = ScriptedServer([&answer = bytes](std::string_view) {
+                return Scripted{answer, true};
+            });
             auto bench = LinksBench();
             bench.send(server.address(), 1, true);
             THEN("the connection is closed and the send fails as invalid")
--- a/tests/platform_exchange.cpp
+++ b/tests/platform_exchange.cpp
@@ -139,6 +139,19 @@
             CHECK_FALSE(limitOf(text));
         CHECK_FALSE(leafAnswer("200 OK\r\n" + receipt).rateLimit);
     }
+    THEN("the pause that it asks for with a 503 is read, and nonsense asks for none")
+    {
+        const auto pauseOf = [&](const std::string &status, const std::string &text) {
+            return leafAnswer(status + "\r\nRetry-After: " + text + "\r\n" + receipt).pause;
+        };
+        CHECK(pauseOf("503 Full", "1.5") == 1500ms);
+        CHECK(pauseOf("503 Full", "3") == 3s);
+        CHECK(pauseOf("503 Full", "1e300") >= 24h);
+        CHECK(pauseOf("500 Broken", "3") == 0s);
+        for (const auto *const text :
+             {"0", "-1", "nan", "inf", "soon", "", "1e999", "Wed, 21 Oct 2026 07:28:00 GMT"})
+            CHECK(pauseOf("503 Full", text) == 0s);
+    }
     THEN("an answer belongs to the request whose id it echoes")
     {
         const auto echoed = message("HTTP/1.1 200 OK\r\nCrocusreach-Request-Id: 9c41\r\n"
