Answer every request that a front takes in a planned stop

Cause: a front took requests until 3.5 s after SIGTERM and exited at 5.7 s of 6 with whatever was open. A request to a route of 3 s that met a silent leaf late in the grace period was passed on and then cut off without an answer, also one that must not be repeated. Besides, connections that became idle, or had just been accepted, were closed without a look at what their callers had sent. Change: from SIGTERM on, the forwarder knows until when it can answer (0.55 s before the process would be killed). It takes what must not be repeated only if its whole time fits, the rest if leafs as fast as of late end it in time. What is open then gets the parts that are there, a refusal if it provably did not run, and 502 otherwise. Refused callers may return to another instance at once. The listener accepts and reads what has come before it closes a connection, and leaves a new one 100 ms for its first request. Ruled out: refusing earlier for all routes (callers lose what ends in time), and ending requests of slow leafs sooner than the exit requires.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -113,6 +113,20 @@
     return true;
 }
 
+// False if the instance will probably exit before the call ends. A request that must not be
+// repeated needs all of its time before the exit, since its caller couldn't tell whether it ran.
+auto endsBeforeStop(const Forwarder &forwarder, const Call &call, TimePoint now) -> bool
+{
+    constexpr double slowFraction = 0.99;
+    if (!forwarder.answersUntil || call.deadline <= *forwarder.answersUntil)
+        return true;
+    if (!call.route->idempotent)
+        return false;
+    const auto needed
+            = std::max(call.route->targetLatency, quantile(call.stats->latency, slowFraction));
+    return now + needed <= *forwarder.answersUntil;
+}
+
 auto updateUnservableWindow(Forwarder &forwarder, TimePoint now) -> void
 {
     auto &window = forwarder.unservable;
@@ -135,7 +149,7 @@
 {
     auto answer = LocalAnswer{status, {}};
     if (status == LocalStatus::NotRun)
-        answer.retryAfter = retryAfter(forwarder, event.request->timeLeft);
+        answer.retryAfter = retryAfter(forwarder, end, event.request->timeLeft);
     ++forwarder.counters.ends.at(static_cast<std::size_t>(end));
     answerCaller(event.call, answer, actions);
     auto summary = CallSummary();
@@ -197,6 +211,10 @@
     if (call.deadline <= now)
         return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::TimedOut,
                       actions);
+    if (!endsBeforeStop(forwarder, call, now))
+        return refuse(forwarder, event, now, route, LocalStatus::NotRun, CallEnd::Stopping,
+                      actions);
+    shortenToStop(forwarder, call);
     // A query that can't reach enough shards is refused before its first send.
     const auto isServed = [&](std::string_view service) {
         return canSendInTime(forwarder, call, service, now);
--- a/core/forwardanswer.cpp
+++ b/core/forwardanswer.cpp
@@ -14,6 +14,15 @@
 constexpr double maxRetryAfterFraction = 0.25;
 constexpr double minRetryAfterFraction = 0.05;
 
+// A random part of the time, between the two fractions of it.
+auto randomPart(Forwarder &forwarder, Duration time, double least, double most) -> Duration
+{
+    constexpr std::uint64_t steps = 1000;
+    const auto random = static_cast<double>(nextRandom(forwarder.random) % steps) / steps;
+    const auto fraction = least + random * (most - least);
+    return Duration(static_cast<Duration::rep>(fraction * static_cast<double>(time.count())));
+}
+
 auto countParts(const Call &call, PartState state) -> std::size_t
 {
     return static_cast<std::size_t>(
@@ -34,7 +43,8 @@
 {
     auto answer = LocalAnswer{status, {}};
     if (status == LocalStatus::NotRun)
-        answer.retryAfter = retryAfter(forwarder, call.arrivedAt + call.request->timeLeft - now);
+        answer.retryAfter
+                = retryAfter(forwarder, end, call.arrivedAt + call.request->timeLeft - now);
     return {answer, end};
 }
 
@@ -121,14 +131,12 @@
     return call.parts.size() - countParts(call, PartState::Answered);
 }
 
-auto retryAfter(Forwarder &forwarder, Duration timeLeft) -> Duration
+auto retryAfter(Forwarder &forwarder, CallEnd end, Duration timeLeft) -> Duration
 {
-    constexpr std::uint64_t steps = 1000;
-    const auto fraction = static_cast<double>(nextRandom(forwarder.random) % steps) / steps;
-    const auto waitFraction
-            = minRetryAfterFraction + fraction * (maxRetryAfterFraction - minRetryAfterFraction);
-    return Duration(
-            static_cast<Duration::rep>(waitFraction * static_cast<double>(timeLeft.count())));
+    // Any other instance can serve the caller at once.
+    if (end == CallEnd::Stopping)
+        return randomPart(forwarder, timeLeft, 0, minRetryAfterFraction);
+    return randomPart(forwarder, timeLeft, minRetryAfterFraction, maxRetryAfterFraction);
 }
 
 auto decideOutcome(Forwarder &forwarder, Call &call, TimePoint now) -> std::optional<CallOutcome>
@@ -140,6 +148,8 @@
         return outcome;
     if (isQuery && countParts(call, PartState::Answered) >= requiredParts(call))
         return mergedOutcome(call);
+    if (call.endsAtStop)
+        return failureOutcome(forwarder, call, CallEnd::Stopping, now);
     const auto status = isProvablyNotRun(call) ? LocalStatus::NotRun : LocalStatus::TimedOut;
     return localOutcome(forwarder, call, status, CallEnd::TimedOut, now);
 }
--- a/core/forwardanswer.h
+++ b/core/forwardanswer.h
@@ -18,9 +18,9 @@
 // come, or the missing ones aren't worth the wait. Empty otherwise.
 auto decideOutcome(Forwarder &forwarder, Call &call, TimePoint now) -> std::optional<CallOutcome>;
 
-// How long the caller should wait before its next attempt. Randomised, so that callers that were
-// refused together don't return together.
-auto retryAfter(Forwarder &forwarder, Duration timeLeft) -> Duration;
+// How long the caller should wait before its next attempt, given why this one ended. Randomised, so
+// that callers that were refused together don't return together.
+auto retryAfter(Forwarder &forwarder, CallEnd end, Duration timeLeft) -> Duration;
 
 auto missingParts(const Call &call) -> std::size_t;
 
--- a/core/forwardcalls.cpp
+++ b/core/forwardcalls.cpp
@@ -73,6 +73,20 @@
     return confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt;
 }
 
+auto shortenToStop(Forwarder &forwarder, Call &call) -> void
+{
+    if (!forwarder.answersUntil || call.deadline <= *forwarder.answersUntil)
+        return;
+    call.deadline = *forwarder.answersUntil;
+    call.endsAtStop = true;
+    addTimer(forwarder, call.deadline, TimerKind::Call, static_cast<std::uint64_t>(call.id));
+    if (!call.waiting)
+        return;
+    forwarder.waiting.erase(*call.waiting);
+    call.waiting = WaitingKey(call.route->priority, call.deadline, call.id);
+    forwarder.waiting.insert(*call.waiting);
+}
+
 auto endCall(Forwarder &forwarder, Call &call, CallEnd end, TimePoint now,
              std::vector<ForwardAction> &actions) -> void
 {
--- a/core/forwardcalls.h
+++ b/core/forwardcalls.h
@@ -13,6 +13,9 @@
 // Time since the known desired state was last confirmed; absent before the first time.
 auto stateAgeOf(const Forwarder &forwarder, TimePoint now) -> std::optional<Duration>;
 
+// Moves the deadline of a call forward if the instance exits before it.
+auto shortenToStop(Forwarder &forwarder, Call &call) -> void;
+
 // Removes the call and reports how it ended.
 auto endCall(Forwarder &forwarder, Call &call, CallEnd end, TimePoint now,
              std::vector<ForwardAction> &actions) -> void;
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -360,6 +360,14 @@
     forwarder.instanceCountKnown = true;
 }
 
+auto onEvent(Forwarder &forwarder, const StopScheduled &event, TimePoint /*now*/,
+             std::vector<ForwardAction> & /*actions*/) -> void
+{
+    forwarder.answersUntil = event.answersUntil;
+    for (const auto &[id, call] : forwarder.calls)
+        shortenToStop(forwarder, *call);
+}
+
 auto onEvent(Forwarder &forwarder, const NewRequestsRefused & /*event*/, TimePoint /*now*/,
              std::vector<ForwardAction> & /*actions*/) -> void
 {
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -101,6 +101,7 @@
     PathProbe probe;
     bool instanceCountKnown = false;
     bool refusesNewRequests = false;
+    std::optional<TimePoint> answersUntil; // set once a stop is requested
     bool stateRead = false;
     bool stateUnavailable = false; // requests are refused until the state is read
     std::optional<TimePoint> nextConnectionCheckAt; // of idle connections
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -169,6 +169,13 @@
 struct StateUnavailable
 { };
 
+// The instance will exit. Every request is answered by the given time, and one that would probably
+// take longer is refused.
+struct StopScheduled
+{
+    TimePoint answersUntil = {};
+};
+
 // The instance is about to exit: requests that arrive from now on are refused.
 struct NewRequestsRefused
 { };
@@ -180,7 +187,8 @@
         = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, ConnectionOpened,
                        ConnectionClosed, RoutesChanged, RoutesConfirmed, LeafsRegistered,
                        LeafsRemoved, DomainsEvacuated, InstancesCounted, SettingsChanged,
-                       NewRequestsRefused, StateRead, StateUnavailable, ForwarderTick>;
+                       StopScheduled, NewRequestsRefused, StateRead, StateUnavailable,
+                       ForwarderTick>;
 
 // Actions.
 
@@ -250,7 +258,7 @@
     MayHaveRun,
     TimedOut,
     CallerLeft,
-    Stopping,
+    Stopping, // this instance is about to exit, or exited before the call could end
     CutOff, // this instance can reach no leaf
     SilentLeafs, // too few of the route's leafs answer this instance
     Count
--- a/core/forwardstate.h
+++ b/core/forwardstate.h
@@ -46,6 +46,7 @@
     TimePoint arrivedAt = {};
     Duration elapsedBeforeArrival = {}; // estimate of the time the caller spent before the arrival
     TimePoint deadline = {}; // the call is answered by then at the latest
+    bool endsAtStop = false; // the instance's exit, not the caller, sets the deadline
     TimePoint partialAnswerAt = {}; // from then on, an answer may lack shards
     std::vector<Part> parts;
     std::uint32_t sends = 0;
--- a/core/lifecycle.cpp
+++ b/core/lifecycle.cpp
@@ -16,6 +16,8 @@
 constexpr Duration refusalDelay = std::chrono::milliseconds(200);
 // The process exits this long before the balancer would kill it.
 constexpr Duration exitMargin = std::chrono::milliseconds(300);
+// Time between the last answers and the exit, in which the answers are written.
+constexpr Duration answerWriteTime = std::chrono::milliseconds(250);
 
 auto idleCloseAt(const Lifecycle &lifecycle) -> TimePoint
 {
@@ -31,6 +33,13 @@
 
 } // namespace
 
+auto answersUntil(const Lifecycle &lifecycle) -> std::optional<TimePoint>
+{
+    if (!lifecycle.stopRequestedAt)
+        return {};
+    return latestExitAt(lifecycle) - answerWriteTime;
+}
+
 auto requestStop(Lifecycle &lifecycle, TimePoint now) -> void
 {
     if (!lifecycle.stopRequestedAt)
--- a/core/lifecycle.h
+++ b/core/lifecycle.h
@@ -36,6 +36,10 @@
 // last known state.
 auto servingStateOf(Lifecycle &lifecycle, bool canServe, bool canReachLeafs) -> ServingState;
 
+// Once a stop is requested, the time until which every request must be answered: the process exits
+// a little later. Absent before.
+auto answersUntil(const Lifecycle &lifecycle) -> std::optional<TimePoint>;
+
 // True from the stop request on: answers announce that their connection will be closed.
 auto shouldAnnounceClose(const Lifecycle &lifecycle) -> bool;
 
--- a/core/requestdiagnosis.cpp
+++ b/core/requestdiagnosis.cpp
@@ -287,6 +287,18 @@
                          " and the log has no line of a failed send."}));
 }
 
+auto diagnoseStopping(const CallSummary &summary) -> Finding
+{
+    if (summary.sends == 0)
+        return makeFinding(FaultLocation::OwnInstanceStopping, {},
+                           "The instance was stopping and took no request that might outlast it.");
+    return makeFinding(
+            FaultLocation::OwnInstanceStopping, {},
+            concatenate({"The instance stopped ", milliseconds(summary.elapsed),
+                         " after the request's arrival. Until then, leaf ", summary.lastLeaf,
+                         " had not answered for ", milliseconds(summary.leafLatency), "."}));
+}
+
 auto locateFault(const RequestHistory &history) -> Finding
 {
     if (!history.summary)
@@ -307,8 +319,7 @@
         return makeFinding(FaultLocation::OwnInstanceOverloaded, {},
                            "The instance had reached its limit of requests in progress.");
     case CallEnd::Stopping:
-        return makeFinding(FaultLocation::OwnInstanceStopping, {},
-                           "The instance was stopping and accepted no new requests.");
+        return diagnoseStopping(summary);
     case CallEnd::CutOff:
         return makeFinding(
                 FaultLocation::FailureDomainOut, {},
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -191,6 +191,7 @@
     logEvent(LogEvent::StopRequested);
     requestStop(this->lifecycle, decisionNow());
     this->callers.setClosing(true);
+    this->forwarder.post(StopScheduled{*answersUntil(this->lifecycle)});
     this->onStopped = std::move(stopped);
     this->nextStopCheck = nextTickAt(this->lifecycle, decisionNow());
 }
--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -16,6 +16,9 @@
 // After its last answer, a connection is kept this long for the caller to close it. A socket that
 // is closed with unread bytes is reset, which can destroy the answer.
 constexpr Duration lingerTime = std::chrono::seconds(1);
+// A caller sends the first request of a connection within this time. Until then, a listener that
+// closes idle connections leaves a new one open.
+constexpr Duration firstRequestTime = std::chrono::milliseconds(100);
 // Requests that a caller sends ahead of its answers; beyond this, it has to wait.
 constexpr std::size_t mostInput = std::size_t(512) * 1024;
 
@@ -133,6 +136,7 @@
     if (!request)
         return this->invite(connection);
     connection.phase = Phase::Answering;
+    connection.used = true;
     connection.invited = false;
     connection.closeAfterWrite = !request->keepAlive;
     connection.noBody = request->method == "HEAD";
@@ -218,25 +222,43 @@
     this->connections.erase(found);
 }
 
+auto HttpListener::awaitsFirstRequest(const Connection &connection, TimePoint now) const -> bool
+{
+    return !connection.used && now - connection.since < firstRequestTime;
+}
+
 auto HttpListener::closeIdle() -> void
 {
-    auto idle = std::vector<CallerId>();
+    this->acceptAll();
+    auto open = std::vector<CallerId>();
     for (const auto &[id, connection] : this->connections) {
-        if (connection->phase == Phase::Reading && connection->input.empty()
-            && connection->output.empty() && !connection->reader.isInMessage())
-            idle.push_back(id);
+        if (connection->phase == Phase::Reading)
+            open.push_back(id);
+    }
+    const auto now = decisionNow();
+    for (const auto id : open) {
+        // A request may have come since the socket was last polled.
+        this->onSocket(id, {true, false, false});
+        const auto found = this->connections.find(id);
+        if (found == this->connections.end())
+            continue;
+        const auto &connection = *found->second;
+        if (connection.phase == Phase::Reading && connection.input.empty()
+            && connection.output.empty() && !connection.reader.isInMessage()
+            && !this->awaitsFirstRequest(connection, now))
+            this->drop(id);
     }
-    for (const auto id : idle)
-        this->drop(id);
 }
 
 auto HttpListener::openRequests() const -> std::size_t
 {
-    return static_cast<std::size_t>(
-            std::count_if(this->connections.begin(), this->connections.end(), [](const auto &item) {
+    const auto now = decisionNow();
+    return static_cast<std::size_t>(std::count_if(
+            this->connections.begin(), this->connections.end(), [&](const auto &item) {
                 const auto &connection = *item.second;
                 return connection.phase == Phase::Answering || !connection.output.empty()
-                       || connection.reader.isInMessage();
+                       || connection.reader.isInMessage()
+                       || this->awaitsFirstRequest(connection, now);
             }));
 }
 
--- a/front/httplistener.h
+++ b/front/httplistener.h
@@ -51,13 +51,16 @@
     // Whether answers announce the end of their connection, so that callers move to another
     // instance.
     auto setClosing(bool value) -> void { this->closing = value; }
+    // Accepts and reads what callers have sent so far, then closes the connections without a
+    // request, except those that were opened a moment ago for one.
     auto closeIdle() -> void;
 
     // Ignored if the caller has left meanwhile.
     auto respond(CallerId caller, std::uint32_t status, std::span<const HttpHeader> headers,
                  std::string_view body) -> void;
 
-    // Requests that were read, or are being read or answered.
+    // Requests that were read, or are being read or answered, and new connections whose first
+    // request is about to come.
     auto openRequests() const -> std::size_t;
 
 private:
@@ -80,11 +83,13 @@
         std::size_t written = 0;
         bool closeAfterWrite = false;
         bool noBody = false; // the request was a HEAD
+        bool used = false; // has carried a request
         bool invited = false; // the caller was told to send its body
         TimePoint since = {}; // start of the request, of the idle time or of the closing
     };
 
     auto acceptAll() -> void;
+    auto awaitsFirstRequest(const Connection &connection, TimePoint now) const -> bool;
     auto onSocket(CallerId id, Readiness readiness) -> void;
     auto lose(CallerId id) -> void;
     auto readInput(Connection &connection) -> bool;
