Repeat a request that must not run twice on another connection

Cause: operators of similar systems report second copies of answers, sent late on connections that are in use again. Answers are told apart by the request's id, which two attempts of one request share: where a service has one usable leaf, the second attempt after a refusal went out on the same connection, and a second copy of the refusal would have counted as its answer. The caller would then be told that a running request did not run. Change: the retry of a request that must not be repeated, at a leaf that was tried before, closes the idle connection and opens a new one. For requests that may be repeated a copy only costs an attempt. Ruled out: other requests (another id is skipped and the connection closed, front_links), connections that are idle (bytes without a request close them).

--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -1,5 +1,7 @@
 #include "forwardsend.h"
 
+#include "forwardconnections.h"
+
 #include <algorithm>
 
 namespace crocusreach::forward {
@@ -149,13 +151,27 @@
     return placeSend(forwarder.leafs, query, forwarder.share, forwarder.random, now);
 }
 
+// A leaf may send its answer to the first attempt a second time, late. On a connection that both
+// attempts use, it would count as the answer to the second one, and a refusal would be passed on
+// while the request runs.
+auto replaceUsedConnection(Forwarder &forwarder, const Call &call, const Part &part,
+                           Placement &placement, std::vector<ForwardAction> &actions) -> void
+{
+    const auto &tried = part.triedLeafs;
+    const auto isAgain = std::find(tried.begin(), tried.end(), placement.leaf) != tried.end();
+    if (call.route->idempotent || !isAgain || !placement.idleConnection)
+        return;
+    closeConnection(forwarder, *placement.idleConnection, actions);
+    placement.idleConnection.reset();
+}
+
 auto sendRetry(Forwarder &forwarder, Call &call, std::size_t partIndex, TimePoint now,
                std::vector<ForwardAction> &actions) -> void
 {
     auto &part = call.parts[partIndex];
     if (part.attempts >= call.route->maxAttempts)
         return failPart(part, CallEnd::LeafFailure);
-    const auto placement = placeRetry(forwarder, call, part, now);
+    auto placement = placeRetry(forwarder, call, part, now);
     if (!placement) {
         if (canSendInTime(forwarder, call, part.service, now))
             return waitForLeaf(forwarder, call, part.service, now);
@@ -167,6 +183,7 @@
     }
     ++call.retries;
     ++forwarder.counters.retries;
+    replaceUsedConnection(forwarder, call, part, *placement, actions);
     reportExtraAttempt(forwarder, call, part, part.lastFailure, *placement, now, actions);
     startSend(forwarder, call, partIndex, *placement, now, actions);
 }
--- a/tests/core_forwarder.cpp
+++ b/tests/core_forwarder.cpp
@@ -224,6 +224,25 @@
             }
         }
     }
+    GIVEN("a non-idempotent request, and one leaf that refuses it as not run")
+    {
+        fixture.setRoute(singleRoute(false));
+        fixture.addLeaf("ledger", "a");
+        fixture.receiveRequest();
+        const auto first = fixture.takeSends().at(0);
+        fixture.answer(first, LeafAnswerKind::NotRun, 503);
+        THEN("the second attempt uses another connection")
+        {
+            // Guards against a second copy of the refusal, sent late, that counts as the answer to
+            // the second attempt, so that the caller is told of a running request that it did not
+            // run.
+            const auto second = fixture.takeSends().at(0);
+            CHECK(second.leafId == "a");
+            CHECK(second.connection != first.connection);
+            CHECK(second.opensConnection);
+            CHECK(fixture.takeActions<CloseConnection>().at(0).connection == first.connection);
+        }
+    }
     GIVEN("a non-idempotent request")
     {
         fixture.setRoute(singleRoute(false));
