Confirm what is known after a pause before it is used

Cause: a front that was stopped for some seconds went on as if no time had passed. Requests that had waited unread were forwarded with the time that they stated, so that requests which must not be repeated ran after their callers had given up; watch replies from before the pause counted as confirmations of now; and a relay stated the age of its latest answered call, even where the copy that it passed on was older than any working watch leaves it. Change: the reactor notices a turn that is more than a second late or long. The reader of the store then cancels its calls and asks for all changes at once; until it has them, for 250 ms at most, the forwarder sends nothing and holds new requests. The time that a request waited unread is taken off its time left. A relay states the age of the copy itself while that is unconfirmed since a pause, or older than 4 s. Event 111 tells of a pause. Ruled out: serving nothing while the store is away after a pause (callers would lose a front that knows as much as the others).

--- a/base/log.cpp
+++ b/base/log.cpp
@@ -58,6 +58,8 @@
          "changed settings can't be used; the former ones stay in force"},
         {LogEvent::ListenerFailed, "listener_failed", Severity::Error,
          "a listener that requests don't need could not be opened"},
+        {LogEvent::PauseNoticed, "pause_noticed", Severity::Warning,
+         "the process was paused or held up; what is known is confirmed before it is used"},
         {LogEvent::ConfigurationInForce, "configuration_in_force", Severity::Info,
          "a newer configuration is in force"},
         {LogEvent::AssignmentInForce, "assignment_in_force", Severity::Info,
--- a/base/log.h
+++ b/base/log.h
@@ -28,6 +28,7 @@
     SettingsReloaded = 108,
     SettingsInvalid = 109,
     ListenerFailed = 110,
+    PauseNoticed = 111,
     ConfigurationInForce = 200,
     AssignmentInForce = 201,
     SharesChanged = 202,
--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -245,15 +245,25 @@
     if (forwarder.heldRequests.size() >= heldRequestLimit)
         return false;
     const auto time = std::min(maxHoldTime, event.request->timeLeft / holdTimeDivisor);
-    forwarder.heldRequests.push_back({event, now, now + time});
+    // The wait for a confirmation ends by itself.
+    const auto until = forwarder.stateRead ? TimePoint::max() : now + time;
+    forwarder.heldRequests.push_back({event, now, until});
     return true;
 }
 
+auto admitHeldRequests(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    for (const auto &item : std::exchange(forwarder.heldRequests, {}))
+        admit(forwarder, item.event, item.arrivedAt, now, actions);
+}
+
 auto refuseHeldRequests(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
         -> void
 {
     std::erase_if(forwarder.heldRequests, [&](const HeldRequest &item) {
-        const auto ended = forwarder.stateUnavailable || item.heldUntil <= now;
+        const auto isUnavailable = !forwarder.stateRead && forwarder.stateUnavailable;
+        const auto ended = isUnavailable || item.heldUntil <= now;
         if (ended)
             refuse(forwarder, item.event, now, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes,
                    actions);
--- a/core/forwardadmit.h
+++ b/core/forwardadmit.h
@@ -17,9 +17,13 @@
 auto admit(Forwarder &forwarder, const RequestArrived &event, TimePoint arrivedAt, TimePoint now,
            std::vector<ForwardAction> &actions) -> void;
 
-// Holds a request until the state is read. Returns false if too many are held.
+// Holds a request until the state is read or confirmed. Returns false if too many are held.
 auto holdRequest(Forwarder &forwarder, const RequestArrived &event, TimePoint now) -> bool;
 
+// Starts the calls of all held requests.
+auto admitHeldRequests(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void;
+
 // Refuses the requests that were held for too long, or all of them if the state is unavailable.
 auto refuseHeldRequests(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
         -> void;
--- a/core/forwardcalls.cpp
+++ b/core/forwardcalls.cpp
@@ -101,7 +101,7 @@
 auto advance(Forwarder &forwarder, Call &call, TimePoint now, std::vector<ForwardAction> &actions)
         -> void
 {
-    if (now < call.deadline)
+    if (now < call.deadline && !forwarder.confirmationDueAt)
         sendDueParts(forwarder, call, now, actions);
     auto outcome = decideOutcome(forwarder, call, now);
     if (!outcome)
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -21,6 +21,9 @@
 // Caps the latency ratio that counts for one answer, since a pause or a lost answer says little
 // about a leaf's speed.
 constexpr double maxObservedLatencyRatio = 4;
+// After a pause, the store's answer is awaited for this time. It comes within milliseconds if the
+// store is there; if not, what was known before is all that is known.
+constexpr Duration confirmationTime = std::chrono::milliseconds(250);
 // After a caller has left, its idempotent sends are cancelled if they take longer than this.
 // Shorter ones end by themselves and keep their connection.
 constexpr Duration cancelDelay = std::chrono::milliseconds(250);
@@ -29,8 +32,36 @@
              std::vector<ForwardAction> &actions) -> void
 {
     forwarder.stateRead = true;
-    for (const auto &item : std::exchange(forwarder.heldRequests, {}))
-        admit(forwarder, item.event, item.arrivedAt, now, actions);
+    admitHeldRequests(forwarder, now, actions);
+}
+
+auto onEvent(Forwarder &forwarder, const StateUnconfirmed & /*event*/, TimePoint now,
+             std::vector<ForwardAction> & /*actions*/) -> void
+{
+    forwarder.confirmationDueAt = now + confirmationTime;
+}
+
+// Sends what has waited for the confirmation.
+auto endConfirmation(Forwarder &forwarder, TimePoint now, std::vector<ForwardAction> &actions)
+        -> void
+{
+    if (!std::exchange(forwarder.confirmationDueAt, std::nullopt))
+        return;
+    auto calls = std::vector<CallId>();
+    for (const auto &[id, call] : forwarder.calls)
+        calls.push_back(id);
+    for (const auto id : calls) {
+        const auto call = forwarder.calls.find(id);
+        if (call != forwarder.calls.end())
+            advance(forwarder, *call->second, now, actions);
+    }
+    admitHeldRequests(forwarder, now, actions);
+}
+
+auto onEvent(Forwarder &forwarder, const StateConfirmed & /*event*/, TimePoint now,
+             std::vector<ForwardAction> &actions) -> void
+{
+    endConfirmation(forwarder, now, actions);
 }
 
 auto onEvent(Forwarder &forwarder, const StateUnavailable & /*event*/, TimePoint now,
@@ -47,9 +78,10 @@
     if (forwarder.refusesNewRequests)
         return refuse(forwarder, event, now, nullptr, LocalStatus::NotRun, CallEnd::Stopping,
                       actions);
-    if (forwarder.stateRead)
+    if (forwarder.stateRead && !forwarder.confirmationDueAt)
         return admit(forwarder, event, now, now, actions);
-    if (forwarder.stateUnavailable || !holdRequest(forwarder, event, now))
+    const auto isUnavailable = !forwarder.stateRead && forwarder.stateUnavailable;
+    if (isUnavailable || !holdRequest(forwarder, event, now))
         refuse(forwarder, event, now, nullptr, LocalStatus::NotRun, CallEnd::NoRoutes, actions);
 }
 
@@ -403,6 +435,8 @@
              std::vector<ForwardAction> &actions) -> void
 {
     applyRemovals(forwarder.leafs, now);
+    if (forwarder.confirmationDueAt && *forwarder.confirmationDueAt <= now)
+        endConfirmation(forwarder, now, actions);
     refuseHeldRequests(forwarder, now, actions);
     closeStaleConnections(forwarder, now, actions);
     checkReachability(forwarder, now);
@@ -453,6 +487,8 @@
         wake = std::min(wake.value_or(TimePoint::max()), *forwarder.probe.nextAt);
     if (forwarder.nextConnectionCheckAt)
         wake = std::min(wake.value_or(TimePoint::max()), *forwarder.nextConnectionCheckAt);
+    if (forwarder.confirmationDueAt)
+        wake = std::min(wake.value_or(TimePoint::max()), *forwarder.confirmationDueAt);
     for (const auto &item : forwarder.heldRequests)
         wake = std::min(wake.value_or(TimePoint::max()), item.heldUntil);
     if (!forwarder.timers.empty())
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -61,7 +61,7 @@
     auto operator>(const ForwarderTimer &other) const -> bool { return this->at > other.at; }
 };
 
-// A request that arrived before the state was read at the start.
+// A request that arrived before the state was read at the start, or confirmed after a pause.
 struct HeldRequest
 {
     RequestArrived event;
@@ -104,8 +104,10 @@
     std::optional<TimePoint> answersUntil; // set once a stop is requested
     bool stateRead = false;
     bool stateUnavailable = false; // requests are refused until the state is read
+    // After a pause of the process, nothing is sent until the state is confirmed, or until then.
+    std::optional<TimePoint> confirmationDueAt;
     std::optional<TimePoint> nextConnectionCheckAt; // of idle connections
-    std::vector<HeldRequest> heldRequests; // arrived before the state was read
+    std::vector<HeldRequest> heldRequests;
     RandomState random;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<SendId, Send> sends;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -165,6 +165,14 @@
 struct StateRead
 { };
 
+// What is known dates from before a pause of the process, and is being asked for again.
+struct StateUnconfirmed
+{ };
+
+// It is in force.
+struct StateConfirmed
+{ };
+
 // The state can't be read at present, and it may take a while.
 struct StateUnavailable
 { };
@@ -187,8 +195,8 @@
         = std::variant<RequestArrived, CallerLeft, LeafAnswered, SendFailed, ConnectionOpened,
                        ConnectionClosed, RoutesChanged, RoutesConfirmed, LeafsRegistered,
                        LeafsRemoved, DomainsEvacuated, InstancesCounted, SettingsChanged,
-                       StopScheduled, NewRequestsRefused, StateRead, StateUnavailable,
-                       ForwarderTick>;
+                       StopScheduled, NewRequestsRefused, StateRead, StateUnconfirmed,
+                       StateConfirmed, StateUnavailable, ForwarderTick>;
 
 // Actions.
 
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -16,6 +16,8 @@
 constexpr Duration boundedReplyTimeout = std::chrono::milliseconds(800);
 // A copy that is older than this may lack a change that must be in force.
 constexpr Duration maxCopyAge = std::chrono::seconds(3);
+// A watch that works confirms its copy this often at the least, also the first one.
+constexpr Duration longestConfirmation = std::chrono::milliseconds(4000);
 // For the list of instances, which changes seldom and may be older.
 constexpr Duration unboundedWatchWait = std::chrono::seconds(25);
 // After a failure, a watch asks the store to reply at once: the reply shows that the store is back,
@@ -104,7 +106,8 @@
     const auto usualWait = reader.relay ? relayWatchWait : storeWatchWait;
     // A relay that no other instance has called yet needs the full time to get a reply from the
     // store itself.
-    const auto maxWait = channel.failures > 0 && !reader.relay ? recoveryWatchWait : usualWait;
+    const auto asksAtOnce = (channel.failures > 0 && !reader.relay) || channel.confirmedBeforePause;
+    const auto maxWait = asksAtOnce ? recoveryWatchWait : usualWait;
     if (!channel.listed) {
         call.request = ListObjects{kind, channel.continueAfter};
         call.timeout = listTimeout(channel);
@@ -446,10 +449,24 @@
     }
 }
 
+// The channels whose copies must be recent: those that requests depend on.
+auto isBoundedChannel(std::size_t index) -> bool
+{
+    return index < static_cast<std::size_t>(Channel::Instances);
+}
+
+auto isConfirmedSincePause(const StoreReader &reader) -> bool
+{
+    return std::none_of(reader.channels.begin(), reader.channels.end(),
+                        [](const ChannelState &channel) { return channel.confirmedBeforePause; });
+}
+
 auto recordConfirmation(StoreReader &reader, std::size_t index, TimePoint confirmedAt,
                         TimePoint now, std::vector<StoreReaderAction> &actions) -> void
 {
     auto &channel = channelAt(reader, index);
+    if (std::exchange(channel.confirmedBeforePause, false) && isConfirmedSincePause(reader))
+        actions.emplace_back(ForwardEvent(StateConfirmed()));
     if (std::exchange(channel.outdatedReported, false))
         actions.emplace_back(StoreNotification{StoreNotificationKind::CopyConfirmed,
                                                static_cast<Channel>(index),
@@ -466,8 +483,7 @@
 auto outdatedAt(const StoreReader &reader, std::size_t index) -> std::optional<TimePoint>
 {
     const auto &channel = reader.channels.at(index);
-    const auto isBounded = index < static_cast<std::size_t>(Channel::Instances);
-    if (!isBounded || !channel.confirmedAt || channel.outdatedReported)
+    if (!isBoundedChannel(index) || !channel.confirmedAt || channel.outdatedReported)
         return {};
     return *channel.confirmedAt + maxCopyAge;
 }
@@ -511,6 +527,24 @@
         recordConfirmation(reader, index, confirmedAt, now, actions);
 }
 
+// Asks the source for all changes at once. Replies that came during the pause are dropped, since
+// their age isn't known.
+auto onEvent(StoreReader &reader, const ReaderResumed & /*resumed*/, TimePoint now,
+             std::vector<StoreReaderAction> &actions) -> void
+{
+    actions.emplace_back(CancelObjectCalls());
+    for (std::size_t index = 0; index < objectKindCount; ++index) {
+        auto &channel = channelAt(reader, index);
+        channel.confirmedBeforePause = isBoundedChannel(index) && channel.confirmedAt.has_value();
+        if (!channel.listed)
+            resetListing(reader, index);
+        channel.blocked = false;
+        startCall(reader, index, now, actions);
+    }
+    if (reader.stateRead)
+        actions.emplace_back(ForwardEvent(StateUnconfirmed()));
+}
+
 auto onEvent(StoreReader &reader, const StoreReaderTick & /*tick*/, TimePoint now,
              std::vector<StoreReaderAction> &actions) -> void
 {
@@ -622,8 +656,15 @@
     return confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt;
 }
 
-auto storeAge(const StoreReader &reader, TimePoint now) -> std::optional<Duration>
+auto storeAge(const StoreReader &reader, ObjectKind kind, TimePoint now) -> std::optional<Duration>
 {
+    const auto index = static_cast<std::size_t>(kind);
+    const auto age = copyAge(reader, kind, now);
+    const auto isOld
+            = isBoundedChannel(index) && age
+              && (*age > longestConfirmation || reader.channels.at(index).confirmedBeforePause);
+    if (isOld)
+        return age;
     if (!reader.storeConfirmedAt)
         return {};
     return now - *reader.storeConfirmedAt;
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -113,10 +113,14 @@
     std::optional<Duration> storeAge; // that a relay states of its objects; absent from the store
 };
 
+// The process was paused: what is known may have changed meanwhile.
+struct ReaderResumed
+{ };
+
 struct StoreReaderTick
 { };
 
-using StoreEvent = std::variant<StoreReply, StoreReaderTick>;
+using StoreEvent = std::variant<StoreReply, ReaderResumed, StoreReaderTick>;
 
 // Notifications for the log.
 
@@ -160,6 +164,7 @@
     // latest list, less the store age that a relay stated.
     std::optional<TimePoint> confirmedAt;
     bool outdatedReported = false; // and not confirmed since
+    bool confirmedBeforePause = false; // and not since the latest pause of the process
     Duration retryDelay = {}; // after the latest failure
     std::uint32_t failures = 0; // in a row
     // Of the object channels:
@@ -217,8 +222,8 @@
 // that the replies to others have a small store age.
 auto recordRelayCall(StoreReader &reader, TimePoint now) -> void;
 
-// Time since the start of the latest call that the store has answered, for the replies to other
-// instances.
-auto storeAge(const StoreReader &reader, TimePoint now) -> std::optional<Duration>;
+// How old the copy of a kind may be, for the replies to other instances: the time since the start
+// of the latest call that the store has answered, unless the copy itself is too old.
+auto storeAge(const StoreReader &reader, ObjectKind kind, TimePoint now) -> std::optional<Duration>;
 
 } // namespace crocusreach::forward
--- a/front/callertask.cpp
+++ b/front/callertask.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace crocusreach {
@@ -32,11 +33,13 @@
         this->listener.respond(caller, refusal->status, refusal->headers, refusal->body);
         return;
     }
+    // A request that waited unread while the process was paused has less time left than it says.
+    auto &arrived = std::get<ForwardRequest>(request);
+    arrived.timeLeft = std::max(Duration(), arrived.timeLeft - this->reactor.inputAge());
     const auto call = CallId(++this->lastCall);
     this->calls.insert_or_assign(caller, call);
     this->callers.emplace(call, caller);
-    this->outlet(RequestArrived{call, std::make_shared<const ForwardRequest>(
-                                              std::get<ForwardRequest>(std::move(request)))});
+    this->outlet(RequestArrived{call, std::make_shared<const ForwardRequest>(std::move(arrived))});
 }
 
 auto CallerTask::onLeft(CallerId caller) -> void
--- a/front/front.cpp
+++ b/front/front.cpp
@@ -47,7 +47,12 @@
                                     [](CallerId) {}})
     , stopTimer(this->reactor.addTimer([this] { return this->nextStopCheck; },
                                        [this] { this->checkStop(); }))
-{ }
+{
+    this->reactor.onResume([this] {
+        logEvent(LogEvent::PauseNoticed);
+        this->store.resume();
+    });
+}
 
 auto Front::start(const FrontSettings &settings, FrontCodec codec, GMainContext *context)
         -> Result<std::unique_ptr<Front>>
--- a/front/reactor.cpp
+++ b/front/reactor.cpp
@@ -13,6 +13,12 @@
 namespace {
 
 constexpr std::size_t eventsPerTurn = 64;
+// A turn takes place at least this often, so that a pause of the process shows.
+constexpr Duration maxTurnInterval = std::chrono::milliseconds(500);
+// A turn that begins later than this, or takes longer, shows that the process was paused.
+constexpr Duration maxTurnDelay = std::chrono::milliseconds(1000);
+// Input that came during a pause has been read this long after its end.
+constexpr Duration backlogReadTime = std::chrono::milliseconds(50);
 
 auto toEpoll(Readiness wanted) -> std::uint32_t
 {
@@ -36,6 +42,7 @@
 
 Reactor::Reactor(GMainContext *context)
     : epoll(epoll_create1(EPOLL_CLOEXEC))
+    , lastTurnAt(decisionNow())
 {
     static GSourceFuncs functions = {&Reactor::prepare, &Reactor::check, &Reactor::dispatchSource,
                                      nullptr,           nullptr,         nullptr};
@@ -108,23 +115,30 @@
         found->id = 0;
 }
 
-// Milliseconds until the earliest wake time; -1 if there is none.
-auto Reactor::waitTime() const -> gint
+auto Reactor::nextWake() const -> TimePoint
 {
-    if (!this->queue.empty())
-        return 0;
-    auto earliest = std::optional<TimePoint>();
+    auto earliest = this->lastTurnAt + maxTurnInterval;
     for (const auto &timer : this->timers) {
         const auto wake = timer.id == 0 ? std::nullopt : timer.wakeTime();
-        if (wake)
-            earliest = std::min(earliest.value_or(TimePoint::max()), *wake);
+        earliest = std::min(earliest, wake.value_or(earliest));
     }
-    if (!earliest)
-        return -1;
-    // A loop that sleeps for long still finds out in time that the machine was suspended.
-    constexpr auto longestWait = std::chrono::milliseconds(1000);
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*earliest - decisionNow());
-    return static_cast<gint>(std::clamp(left, std::chrono::milliseconds(0), longestWait).count());
+    return earliest;
+}
+
+// Milliseconds until the next turn.
+auto Reactor::waitTime() const -> gint
+{
+    if (!this->queue.empty())
+        return 0;
+    const auto left
+            = std::chrono::ceil<std::chrono::milliseconds>(this->nextWake() - decisionNow());
+    return static_cast<gint>(std::max(left, std::chrono::milliseconds(0)).count());
+}
+
+auto Reactor::inputAge() const -> Duration
+{
+    const auto now = decisionNow();
+    return now - this->resumedAt < backlogReadTime ? now - this->pausedSince : Duration();
 }
 
 auto Reactor::prepare(GSource *source, gint *timeout) -> gboolean
@@ -149,11 +163,30 @@
 
 auto Reactor::dispatch() -> void
 {
+    this->noticePause();
     this->dispatchSockets();
     this->dispatchTimers();
     this->drain();
     this->forgotten.clear();
     std::erase_if(this->timers, [](const Timer &timer) { return timer.id == 0; });
+    const auto now = decisionNow();
+    const auto tookLong = now - this->lastTurnAt > maxTurnDelay;
+    this->expectedBy = tookLong ? this->lastTurnAt : std::max(now, this->nextWake());
+}
+
+// What the process was allowed to do before a pause may have ended meanwhile, so this comes before
+// the sockets.
+auto Reactor::noticePause() -> void
+{
+    const auto now = decisionNow();
+    const auto formerTurnAt = std::exchange(this->lastTurnAt, now);
+    if (now - this->expectedBy < maxTurnDelay)
+        return;
+    this->pausedSince = formerTurnAt;
+    this->resumedAt = now;
+    if (this->resumeHandler)
+        this->resumeHandler();
+    this->drain();
 }
 
 auto Reactor::dispatchSockets() -> void
--- a/front/reactor.h
+++ b/front/reactor.h
@@ -105,6 +105,15 @@
     // Runs a function in a later turn of the loop's queue, in order.
     auto post(std::function<auto()->void> message) -> void;
 
+    // Calls the function before anything else is done after the process was paused or held up for
+    // more than a second.
+    auto onResume(std::function<auto()->void> handler) -> void
+    {
+        this->resumeHandler = std::move(handler);
+    }
+    // What is read now may have waited unread for this long; not zero only shortly after a pause.
+    auto inputAge() const -> Duration;
+
     // Calls onWake whenever the wake time has come, as long as the handle is there. The time is
     // asked for before each wait.
     [[nodiscard]] auto addTimer(WakeTime wakeTime, std::function<auto()->void> onWake)
@@ -130,7 +139,9 @@
 
     auto removeTimer(std::uint64_t id) -> void;
     auto waitTime() const -> gint;
+    auto nextWake() const -> TimePoint;
     auto dispatch() -> void;
+    auto noticePause() -> void;
     auto dispatchSockets() -> void;
     auto dispatchTimers() -> void;
     auto drain() -> void;
@@ -145,6 +156,11 @@
     std::list<Timer> timers; // one that is removed stays until the end of the turn
     std::uint64_t lastTimer = 0;
     std::vector<std::function<auto()->void>> queue;
+    std::function<auto()->void> resumeHandler;
+    TimePoint lastTurnAt; // the latest turn began then
+    TimePoint expectedBy = TimePoint::max(); // the next one should begin by then
+    TimePoint pausedSince = {}; // of the latest pause: the turn before it
+    TimePoint resumedAt = {};
     SourceHandle source;
 };
 
--- a/front/relaytask.cpp
+++ b/front/relaytask.cpp
@@ -50,7 +50,7 @@
 {
     auto request = this->codec.readObjectCall(message);
     if (!request)
-        return this->respond(caller, HTTP_STATUS_NOT_FOUND, {});
+        return this->listener.respond(caller, HTTP_STATUS_NOT_FOUND, {}, {});
     this->source.onRelayCall();
     auto call = WaitingCall{caller, std::move(*request), {}};
     call.until = decisionNow() + waitOf(call.request);
@@ -65,36 +65,36 @@
             = this->source.reader().cache.kinds.at(static_cast<std::size_t>(kindOf(call.request)));
     if (!cache.complete) {
         if (last)
-            this->respond(call.caller, HTTP_STATUS_SERVICE_UNAVAILABLE, {});
+            this->respond(call, HTTP_STATUS_SERVICE_UNAVAILABLE, {});
         return last;
     }
     const auto *const watch = std::get_if<WatchObjects>(&call.request);
     if (watch == nullptr) {
-        this->respond(call.caller, HTTP_STATUS_OK,
+        this->respond(call, HTTP_STATUS_OK,
                       this->codec.writeObjectList(liveObjects(cache), cache.revision));
         return true;
     }
     if (watch->revision < cache.deletionsKeptSince) {
-        this->respond(call.caller, HTTP_STATUS_GONE, {});
+        this->respond(call, HTTP_STATUS_GONE, {});
         return true;
     }
     const auto changes = changesAfter(cache, watch->revision);
     if (changes.empty() && !last)
         return false;
-    this->respond(call.caller, HTTP_STATUS_OK,
-                  this->codec.writeObjectChanges(changes, cache.revision));
+    this->respond(call, HTTP_STATUS_OK, this->codec.writeObjectChanges(changes, cache.revision));
     return true;
 }
 
-auto RelayTask::respond(CallerId caller, std::uint32_t status, std::string_view body) -> void
+auto RelayTask::respond(const WaitingCall &call, std::uint32_t status, std::string_view body)
+        -> void
 {
-    const auto age = storeAge(this->source.reader(), decisionNow());
+    const auto age = storeAge(this->source.reader(), kindOf(call.request), decisionNow());
     auto headers = std::vector<HttpHeader>();
     if (age) {
         const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age).count();
         headers.push_back({std::string(storeAgeHeader), std::to_string(whole)});
     }
-    this->listener.respond(caller, status, headers, body);
+    this->listener.respond(call.caller, status, headers, body);
 }
 
 auto RelayTask::objectsChanged() -> void
--- a/front/relaytask.h
+++ b/front/relaytask.h
@@ -45,7 +45,7 @@
 
     auto onCall(CallerId caller, const HttpMessage &message) -> void;
     auto tryAnswer(const WaitingCall &call, bool last) -> bool;
-    auto respond(CallerId caller, std::uint32_t status, std::string_view body) -> void;
+    auto respond(const WaitingCall &call, std::uint32_t status, std::string_view body) -> void;
     auto nextEnd() const -> std::optional<TimePoint>;
     auto checkTimes() -> void;
 
--- a/front/storereadertask.cpp
+++ b/front/storereadertask.cpp
@@ -58,6 +58,12 @@
     this->perform(actions);
 }
 
+auto StoreReaderTask::resume() -> void
+{
+    if (this->started)
+        this->take(ReaderResumed());
+}
+
 auto StoreReaderTask::onRelayCall() -> void
 {
     recordRelayCall(this->reader, decisionNow());
--- a/front/storereadertask.h
+++ b/front/storereadertask.h
@@ -32,6 +32,8 @@
 
     // Starts reading, or takes in changed settings.
     auto configure(const forward::StoreReaderSettings &settings, std::string newAddress) -> void;
+    // The process was paused.
+    auto resume() -> void;
     // Another instance has read from this one.
     auto onRelayCall() -> void;
     auto state() const -> const forward::StoreReader & { return this->reader; }
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -486,7 +486,7 @@
         fixture.deliver(Channel::Probe, CallSucceeded());
         THEN("it probes the store each second, so that its store age stays low")
         {
-            CHECK(*storeAge(fixture.reader, fixture.now) < 100ms);
+            CHECK(*storeAge(fixture.reader, ObjectKind::Leafs, fixture.now) < 100ms);
             fixture.advanceTime(1100ms);
             CHECK(fixture.takeCallOn(Channel::Probe));
         }
@@ -495,7 +495,7 @@
             fixture.advanceTime(1100ms);
             fixture.deliver(Channel::Probe, CallFailed{StoreFailure::Unreachable});
             fixture.advanceTime(700ms);
-            CHECK(*storeAge(fixture.reader, fixture.now) > 1700ms);
+            CHECK(*storeAge(fixture.reader, ObjectKind::Leafs, fixture.now) > 1700ms);
         }
     }
 }
@@ -543,7 +543,7 @@
         }
         THEN("the relay's store age alone doesn't show that the copy was old")
         {
-            CHECK(storeAge(relay.reader, relay.now) < 1700ms);
+            CHECK(storeAge(relay.reader, ObjectKind::Routes, relay.now) < 1700ms);
         }
     }
 }
--- a/tests/front_reactor.cpp
+++ b/tests/front_reactor.cpp
@@ -4,6 +4,7 @@
 #include "front/reactor.h"
 
 #include <optional>
+#include <thread>
 
 using namespace crocusreach;
 
@@ -51,3 +52,46 @@
         }
     }
 }
+
+SCENARIO("a loop notices that its process was paused or held up")
+{
+    const auto context = MainContextPtr(g_main_context_new());
+    auto reactor = Reactor(context.get());
+    auto resumed = 0;
+    reactor.onResume([&resumed] { ++resumed; });
+    const auto turn = [&context] { g_main_context_iteration(context.get(), TRUE); };
+    reactor.post([] {}); // so that the first turn takes place at once
+    turn();
+    THEN("turns without anything to do follow each other often enough to tell")
+    {
+        turn();
+        turn();
+        CHECK(resumed == 0);
+        CHECK(reactor.inputAge() == Duration());
+    }
+    WHEN("the next turn comes late")
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+        auto ageSeen = Duration();
+        reactor.post([&] { ageSeen = reactor.inputAge(); });
+        turn();
+        THEN("this is told before anything else, and input may have come at any time since")
+        {
+            CHECK(resumed == 1);
+            CHECK(ageSeen >= std::chrono::milliseconds(1800));
+        }
+    }
+    WHEN("a turn takes long")
+    {
+        reactor.post([] { std::this_thread::sleep_for(std::chrono::milliseconds(1800)); });
+        turn();
+        CHECK(resumed == 0);
+        reactor.post([] {});
+        turn();
+        THEN("the next one tells it")
+        {
+            CHECK(resumed == 1);
+            CHECK(reactor.inputAge() >= std::chrono::milliseconds(1800));
+        }
+    }
+}
--- a/tests/process_front.cpp
+++ b/tests/process_front.cpp
@@ -203,3 +203,80 @@
         CHECK(front.wait() == 0);
     }
 }
+
+// Guards against a front that goes on after a pause as if no time had passed.
+SCENARIO("a front is paused for some seconds and goes on")
+{
+    constexpr auto pauseTime = 2500ms; // longer than a turn of the front's loop may take
+    auto path = PlatformPath();
+    path.addLeaf("quick", "l-a", "muar-a");
+    path.addLeaf("quick", "l-b", "muar-b");
+    path.configure(3, {singleRouteSpec("/quick/read/", "quick", true, {20000, 500, 1}),
+                       singleRouteSpec("/quick/once/", "quick", false, {20000, 500, 1})});
+    auto front = FrontProcess(path);
+    REQUIRE(front.awaitReady());
+    auto client = TestClient(front.callerAddress());
+    client.send(path.requestText("/quick/read/x", "GET", "before", 20000));
+    REQUIRE(PlatformPath::leafOf(client.receive().value()) == "l-a");
+    front.signal(SIGSTOP);
+
+    WHEN("requests come during the pause whose callers' time runs out before its end")
+    {
+        auto fresh = TestClient(front.callerAddress());
+        client.send(path.requestText("/quick/once/x", "POST", "kept", 500));
+        fresh.send(path.requestText("/quick/once/x", "POST", "fresh", 500));
+        std::this_thread::sleep_for(pauseTime);
+        front.signal(SIGCONT);
+        THEN("they are refused and don't run")
+        {
+            CHECK(client.receive().value().status == 503);
+            CHECK(fresh.receive().value().status == 503);
+            CHECK(path.ledger.runsOf("kept").empty());
+            CHECK(path.ledger.runsOf("fresh").empty());
+        }
+    }
+    WHEN("callers send requests during the pause and leave before its end")
+    {
+        for (auto number = 0; number < 20; ++number) {
+            auto leaving = TestClient(front.callerAddress());
+            leaving.send(path.requestText("/quick/once/x", "POST", "left-" + std::to_string(number),
+                                          500));
+        }
+        std::this_thread::sleep_for(pauseTime);
+        front.signal(SIGCONT);
+        client.send(path.requestText("/quick/read/x", "GET", "after", 20000));
+        CHECK(client.receive().value().status == 200);
+        THEN("none of these requests runs")
+        {
+            for (auto number = 0; number < 20; ++number)
+                CHECK(path.ledger.runsOf("left-" + std::to_string(number)).empty());
+        }
+    }
+    WHEN("a leaf begins to leave and its domain is evacuated during the pause")
+    {
+        path.enterLeaf("l-a", {"quick", {}, "muar-a", true});
+        path.worker.run([&] { path.store->put(evacuationKind, "muar-a", Json::object()); });
+        client.send(path.requestText("/quick/read/x", "GET", "waiting", 20000));
+        std::this_thread::sleep_for(pauseTime);
+        front.signal(SIGCONT);
+        THEN("the first request after it goes elsewhere")
+        {
+            CHECK(PlatformPath::leafOf(client.receive().value()) == "l-b");
+            CHECK(path.ledger.runsOf("waiting").contains("l-b"));
+            CHECK_FALSE(path.ledger.runsOf("waiting").contains("l-a"));
+            CHECK(awaitTrue(
+                    [&] { return front.log().find("pause_noticed") != std::string::npos; }));
+        }
+    }
+    WHEN("the store is away when it goes on")
+    {
+        path.worker.run([&] { path.store->setAvailability(PlatformAvailability::Silent); });
+        std::this_thread::sleep_for(pauseTime);
+        front.signal(SIGCONT);
+        client.send(path.requestText("/quick/read/x", "GET", "after", 20000));
+        THEN("it serves by what it knew before")
+        {
+            CHECK(client.receive().value().status == 200);
+        }
+    }
+}
