Refuse settings by which a stop cuts off queries

Cause: an instance of a cell takes queries until balancer_grace_ms after SIGTERM and ends at stop_deadline_ms whatever runs. Settings could name a deadline too short for a query that was taken last, which then ended without an answer. Change: stop_deadline_ms must be more than balancer_grace_ms and query.longest_deadline_ms together (the defaults are 15, 2 and 3 s).

--- a/formats/settings.cpp
+++ b/formats/settings.cpp
@@ -184,13 +184,15 @@
         addFieldFault(object, "log_level", "must be trace, debug, info, warning, error or fatal");
     readMilliseconds(object, "balancer_grace_ms", 0, longestInterval, settings.balancerGrace);
     readMilliseconds(object, "stop_deadline_ms", 1, longestInterval, settings.stopDeadline);
-    if (settings.balancerGrace >= settings.stopDeadline)
-        addFieldFault(object, "balancer_grace_ms", "must be less than stop_deadline_ms");
     if (!settings.storeAddress.empty() && !settings.embeddedConfiguration.empty())
         addFieldFault(object, "embedded_configuration", "can't be used with store_address");
     readDispatch(openNested(object, "dispatch"), settings.dispatch);
     readQuery(openNested(object, "query"), settings.query);
     readControl(openNested(object, "control"), settings.control);
+    // A query that is taken at the end of the grace time must end before the instance does.
+    if (settings.stopDeadline <= settings.balancerGrace + settings.query.maxDeadline)
+        addFieldFault(object, "stop_deadline_ms",
+                      "must be more than balancer_grace_ms and query.longest_deadline_ms together");
     return settings;
 }
 
--- a/tests/formats_settings.cpp
+++ b/tests/formats_settings.cpp
@@ -74,6 +74,9 @@
                  "settings at s.json: dispatch.queue_capacity_requests: must be a whole number "
                  "from "
                  "1 to 1000000"},
+                {R"("balancer_grace_ms": 12000)",
+                 "settings at s.json: stop_deadline_ms: must be more than balancer_grace_ms and "
+                 "query.longest_deadline_ms together"},
                 {R"("cell": "other")", "settings at s.json: cell: duplicate key"},
                 {R"("store_address": "127.0.0.1")",
                  "settings at s.json: store_address: must be IP:port"},
