Log no silence of leafs that were never heard

Cause: leaf_silence_ms showed 65,253,940 for a leaf that had never answered the front: the time since the machine's start. leaf_age_ms had the same fault.

--- a/core/forwardcalls.cpp
+++ b/core/forwardcalls.cpp
@@ -39,7 +39,7 @@
     if (leaf) {
         const auto &state = leafAt(forwarder.leafs, *leaf);
         summary.lastLeaf = state.record.id;
-        summary.timeSinceLeafAnswer = now - state.latencyRatioAt;
+        summary.timeSinceLeafAnswer = timeSinceAnswer(state, now);
         summary.leafCold = now < state.coldUntil;
     }
     return summary;
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -296,7 +296,8 @@
     Duration typicalLatency = {}; // of a leaf on the route
     std::string lastLeaf; // leaf of the last answer, or of a missing one
     Duration leafLatency = {}; // from the send to lastLeaf until its answer, or the call's end
-    Duration timeSinceLeafAnswer = {}; // of lastLeaf, when the call ended
+    // Of lastLeaf, when the call ended; absent if it never answered this instance.
+    std::optional<Duration> timeSinceLeafAnswer;
     bool leafCold = false;
 };
 
@@ -345,7 +346,8 @@
     std::string domain; // of the leaf
     RetryReason reason = RetryReason::Slow; // Slow: no answer yet
     Duration waited = {}; // since it was sent
-    Duration timeSinceLeafAnswer = {}; // since its last successful answer to this instance
+    // Since its last successful answer to this instance; absent if there was none.
+    std::optional<Duration> timeSinceLeafAnswer;
     bool leafCold = false;
 };
 
--- a/core/forwardsend.cpp
+++ b/core/forwardsend.cpp
@@ -223,7 +223,7 @@
     failed.domain = leaf.record.domain;
     failed.reason = reason;
     failed.waited = now - send.sentAt;
-    failed.timeSinceLeafAnswer = now - leaf.lastAnswerAt;
+    failed.timeSinceLeafAnswer = timeSinceAnswer(leaf, now);
     failed.leafCold = now < leaf.coldUntil;
     actions.emplace_back(std::move(failed));
 }
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -239,6 +239,13 @@
     leaf.latencyRatioAt = now;
 }
 
+auto timeSinceAnswer(const LeafState &leaf, TimePoint now) -> std::optional<Duration>
+{
+    if (leaf.lastAnswerAt == TimePoint())
+        return {};
+    return now - leaf.lastAnswerAt;
+}
+
 auto recordFailure(LeafState &leaf, TimePoint now) -> void
 {
     recordOutcome(leaf, 1, now);
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -136,6 +136,9 @@
 // empty if the answer says nothing about the leaf's speed.
 auto recordAnswer(LeafState &leaf, std::optional<double> ratio, TimePoint now) -> void;
 
+// Time since the latest successful answer to this instance; absent if there was none.
+auto timeSinceAnswer(const LeafState &leaf, TimePoint now) -> std::optional<Duration>;
+
 // Records a send without a successful answer.
 auto recordFailure(LeafState &leaf, TimePoint now) -> void;
 
--- a/core/requestdiagnosis.cpp
+++ b/core/requestdiagnosis.cpp
@@ -109,13 +109,19 @@
                          " has too few usable leafs; the reason is not known from this log."}));
 }
 
+// True if the leaf has answered another request since this one was sent.
+auto hasAnsweredMeanwhile(const SendFailureReport &send) -> bool
+{
+    return send.timeSinceLeafAnswer && *send.timeSinceLeafAnswer < send.waited;
+}
+
 // The failure domain of all leafs that were silent for this request, if there are enough of them.
 auto findSilentDomain(std::span<const SendFailureReport> sends) -> std::optional<Finding>
 {
     auto leafs = std::set<std::string, std::less<>>();
     auto domains = std::set<std::string, std::less<>>();
     for (const auto &send : sends) {
-        if (!isUnanswered(send) || send.timeSinceLeafAnswer < send.waited)
+        if (!isUnanswered(send) || hasAnsweredMeanwhile(send))
             continue;
         leafs.insert(send.leaf);
         domains.insert(send.domain);
@@ -143,18 +149,24 @@
                 FaultLocation::ColdTarget, send.leaf,
                 concatenate({"Leaf ", send.leaf, " was in cold start and had not answered after ",
                              waited, "."}));
-    if (send.timeSinceLeafAnswer >= send.waited)
+    if (!send.timeSinceLeafAnswer)
+        return makeFinding(
+                FaultLocation::StalledTarget, send.leaf,
+                concatenate({"Leaf ", send.leaf,
+                             " was stalled or could not be reached: the request waited ", waited,
+                             " for it, and it had never answered this instance."}));
+    if (!hasAnsweredMeanwhile(send))
         return makeFinding(
                 FaultLocation::StalledTarget, send.leaf,
                 concatenate({"Leaf ", send.leaf,
                              " was stalled or could not be reached: the request waited ", waited,
                              " for it, and it had not answered this instance for ",
-                             milliseconds(send.timeSinceLeafAnswer), "."}));
+                             milliseconds(*send.timeSinceLeafAnswer), "."}));
     if (send.waited >= silenceLatencyMultiple * typicalLatency)
         return makeFinding(FaultLocation::SilentConnection, send.leaf,
                            concatenate({"The connection to leaf ", send.leaf, " was silent for ",
                                         waited, " while the leaf answered on others ",
-                                        milliseconds(send.timeSinceLeafAnswer), " before."}));
+                                        milliseconds(*send.timeSinceLeafAnswer), " before."}));
     return makeFinding(
             FaultLocation::SlowTarget, send.leaf,
             concatenate({"Leaf ", send.leaf, " had not answered after ", waited,
--- a/formats/requestlog.cpp
+++ b/formats/requestlog.cpp
@@ -87,6 +87,13 @@
     return std::chrono::milliseconds(toNumber(fieldOf(line, key)));
 }
 
+// Milliseconds; absent if the line has no number there.
+auto ageOf(const LogLine &line, std::string_view key) -> std::optional<Duration>
+{
+    const auto age = parseNumber<std::int64_t>(fieldOf(line, key));
+    return age ? std::optional<Duration>(std::chrono::milliseconds(*age)) : std::nullopt;
+}
+
 auto textOf(const LogLine &line, std::string_view key) -> std::string
 {
     return std::string(fieldOf(line, key));
@@ -107,8 +114,7 @@
     summary.end = *end;
     summary.route = fieldOf(line, "route");
     summary.version = toNumber(fieldOf(line, "version"));
-    if (const auto age = parseNumber<std::int64_t>(fieldOf(line, "version_age_ms")))
-        summary.stateAge = std::chrono::milliseconds(*age);
+    summary.stateAge = ageOf(line, "version_age_ms");
     summary.elapsed = millisecondsOf(line, "spent_ms");
     summary.timeLeftAtArrival = millisecondsOf(line, "time_left_ms");
     summary.timeAllowed = millisecondsOf(line, "allowed_ms");
@@ -121,7 +127,7 @@
     summary.typicalLatency = millisecondsOf(line, "usual_ms");
     summary.lastLeaf = fieldOf(line, "waited_for");
     summary.leafLatency = millisecondsOf(line, "leaf_took_ms");
-    summary.timeSinceLeafAnswer = millisecondsOf(line, "leaf_age_ms");
+    summary.timeSinceLeafAnswer = ageOf(line, "leaf_age_ms");
     summary.leafCold = isYes(line, "leaf_cold");
     return summary;
 }
@@ -138,7 +144,7 @@
     failed.domain = fieldOf(line, "domain");
     failed.reason = *reason;
     failed.waited = millisecondsOf(line, "waited_ms");
-    failed.timeSinceLeafAnswer = millisecondsOf(line, "leaf_silence_ms");
+    failed.timeSinceLeafAnswer = ageOf(line, "leaf_silence_ms");
     failed.leafCold = isYes(line, "leaf_cold");
     return failed;
 }
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -43,6 +43,12 @@
     logEvent(LogEvent::EvacuationsChanged, {{"domains", names}});
 }
 
+// Milliseconds, or that the time isn't known or there was none.
+auto ageText(const std::optional<Duration> &age) -> std::string
+{
+    return age ? millisecondsText(*age) : "none";
+}
+
 auto log(const InstancesCounted &event) -> void
 {
     logEvent(LogEvent::InstancesCounted, {{"instances", std::to_string(event.instances)}});
@@ -62,7 +68,7 @@
             {"end", std::string(toString(summary.end))},
             {"route", summary.route},
             {"version", std::to_string(summary.version)},
-            {"version_age_ms", summary.stateAge ? millisecondsText(*summary.stateAge) : "none"},
+            {"version_age_ms", ageText(summary.stateAge)},
             {"spent_ms", millisecondsText(summary.elapsed)},
             {"time_left_ms", millisecondsText(summary.timeLeftAtArrival)},
             {"allowed_ms", millisecondsText(summary.timeAllowed)},
@@ -75,7 +81,7 @@
             {"usual_ms", millisecondsText(summary.typicalLatency)},
             {"waited_for", summary.lastLeaf},
             {"leaf_took_ms", millisecondsText(summary.leafLatency)},
-            {"leaf_age_ms", millisecondsText(summary.timeSinceLeafAnswer)},
+            {"leaf_age_ms", ageText(summary.timeSinceLeafAnswer)},
             {"leaf_cold", yesOrNo(summary.leafCold)}};
 }
 
@@ -97,7 +103,7 @@
             {"domain", failed.domain},
             {"reason", std::string(toString(failed.reason))},
             {"waited_ms", millisecondsText(failed.waited)},
-            {"leaf_silence_ms", millisecondsText(failed.timeSinceLeafAnswer)},
+            {"leaf_silence_ms", ageText(failed.timeSinceLeafAnswer)},
             {"leaf_cold", yesOrNo(failed.leafCold)}};
 }
 
--- a/tests/front_explain.cpp
+++ b/tests/front_explain.cpp
@@ -121,6 +121,23 @@
             CHECK(finding.component == "a");
         }
     }
+    GIVEN("a leaf that has never answered this instance")
+    {
+        fixture.removeLeaf("a");
+        fixture.addLeaf("ledger", "new");
+        front.receiveRequest();
+        fixture.advanceTime(800ms);
+        THEN("the log doesn't state a time since its last answer")
+        {
+            // Guards against a time since the machine started that is taken for a silence.
+            const auto finding = front.explain();
+            CHECK(finding.location == FaultLocation::StalledTarget);
+            CHECK(finding.component == "new");
+            CHECK(finding.description.find("never answered") != std::string::npos);
+            CHECK(front.log.find("leaf_silence_ms=none") != std::string::npos);
+            CHECK(front.log.find("leaf_age_ms=none") != std::string::npos);
+        }
+    }
     GIVEN("a leaf that stands still, and a log whose lines of sends were left out")
     {
         front.receiveRequest();
@@ -338,6 +355,18 @@
             CHECK(front.explain().location == FaultLocation::OwnInstanceStopping);
         }
     }
+    GIVEN("an instance that ends while a leaf still runs the request")
+    {
+        front.receiveRequest(5s);
+        fixture.deliver(StopScheduled{fixture.now + 300ms});
+        fixture.advanceTime(300ms);
+        THEN("its stop is named, and the leaf")
+        {
+            const auto finding = front.explain();
+            CHECK(finding.location == FaultLocation::OwnInstanceStopping);
+            CHECK(finding.description.find("leaf a had not answered") != std::string::npos);
+        }
+    }
     GIVEN("a log without a line of the request's end")
     {
         front.receiveRequest();
