Serve what may be repeated though it waited unread during a pause

Cause: the age that is assumed for requests read after a pause is the greatest that is possible. Change: the bound counts for requests that must not be repeated. For the rest the listener only looks whether the caller has closed its connection, which can wait behind the request after a pause.

--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -48,7 +48,8 @@
     std::string target; // path and query
     std::vector<HeaderField> headers; // only those that are forwarded to a leaf
     std::string body;
-    Duration timeLeft = {}; // how much longer the caller waits
+    Duration timeLeft = {}; // how much longer the caller waits, as it stated
+    Duration longestWait = {}; // for at most so long, the request waited unread at this instance
 };
 
 using ForwardRequestPtr = std::shared_ptr<const ForwardRequest>;
--- a/front/callertask.cpp
+++ b/front/callertask.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 
-#include <algorithm>
 #include <memory>
 
 namespace crocusreach {
@@ -33,9 +32,8 @@
         this->listener.respond(caller, refusal->status, refusal->headers, refusal->body);
         return;
     }
-    // A request that waited unread while the process was paused has less time left than it says.
     auto &arrived = std::get<ForwardRequest>(request);
-    arrived.timeLeft = std::max(Duration(), arrived.timeLeft - this->reactor.inputAge());
+    arrived.longestWait = this->reactor.inputAge();
     const auto call = CallId(++this->lastCall);
     this->calls.insert_or_assign(caller, call);
     this->callers.emplace(call, caller);
--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -92,6 +92,10 @@
     if (readiness.readable || readiness.broken) {
         if (!this->readInput(connection))
             return this->lose(id);
+        // After a pause, the end of a connection may already wait behind the request.
+        const auto mayHaveLeft = this->reactor.inputAge() > Duration();
+        if (connection.phase == Phase::Reading && mayHaveLeft && hasEnded(connection.socket.get()))
+            return this->lose(id);
         if (connection.phase == Phase::Reading)
             this->parseInput(connection);
     }
--- a/front/tcpsocket.cpp
+++ b/front/tcpsocket.cpp
@@ -155,6 +155,13 @@
     return IoStatus::Ok;
 }
 
+auto hasEnded(int descriptor) -> bool
+{
+    auto byte = char();
+    const auto count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && statusOfError() == IoStatus::Broken);
+}
+
 auto writeSome(int descriptor, std::string_view bytes, std::size_t &position) -> IoStatus
 {
     while (position < bytes.size()) {
--- a/front/tcpsocket.h
+++ b/front/tcpsocket.h
@@ -46,6 +46,9 @@
 // Appends what is there to the buffer, up to a bound per call.
 auto readSome(int descriptor, std::string &buffer) -> IoStatus;
 
+// True if the other side has closed the connection and all that it sent was read.
+auto hasEnded(int descriptor) -> bool;
+
 // Writes from the position on and moves it.
 auto writeSome(int descriptor, std::string_view bytes, std::size_t &position) -> IoStatus;
 
