--- a/tests/cell.cpp
+++ b/tests/cell.cpp
@@ -1,6 +1,7 @@
 #include "cell.h"
 
 #include "formats/configurationjson.h"
+#include "numbered.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -272,8 +273,7 @@
                 continue;
             this->asking[slot] = true;
         }
-        this->ask(client, index % size,
-                  "c" + std::to_string(caller) + "-" + std::to_string(++number));
+        this->ask(client, index % size, numbered("c", caller).append(numbered("-", ++number)));
         const auto lock = std::lock_guard(this->mutex);
         this->asking[slot] = false;
     }
@@ -306,7 +306,7 @@
     }
     if (answer.status != 200) {
         ++this->counted.refused;
-        ++this->counted.reasons[json.value("reason", "none")];
+        ++this->counted.reasons[json.value("reason", std::string("none"))];
     } else {
         ++(json["status"] == "complete" ? this->counted.complete : this->counted.partial);
         for (const auto &shard : json["coverage"]["missing"])
--- a/tests/controlcell.h
+++ b/tests/controlcell.h
@@ -2,6 +2,7 @@
 
 #include "controlsimulation.h"
 #include "core/lease.h"
+#include "numbered.h"
 
 #include <span>
 #include <string>
@@ -20,7 +21,7 @@
     simulation.random.seed(1);
     simulation.settings.cell = "cell";
     for (std::size_t index = 0; index < domains.size(); ++index)
-        addNode(simulation, "i" + std::to_string(index), domains[index]);
+        addNode(simulation, tests::numbered("i", index), domains[index]);
     putConfiguration(simulation, controltest::makeConfiguration(8, 6, 4, domainNames));
     for (std::size_t index = 0; index < domains.size(); ++index)
         startNode(simulation, index);
--- a/tests/core_assignment.cpp
+++ b/tests/core_assignment.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/assignment.h"
+#include "numbered.h"
 
 #include <algorithm>
 #include <map>
@@ -22,7 +23,7 @@
     const auto domains = std::vector<std::string>{"a", "b", "c"};
     auto members = std::vector<Member>();
     for (std::size_t index = 0; index < count; ++index)
-        members.push_back(makeMember("i" + std::to_string(index), domains[index % 3]));
+        members.push_back(makeMember(tests::numbered("i", index), domains[index % 3]));
     return members;
 }
 
