Name the state after a pause and the spread of shares plainly

Cause: read as a newcomer, longestWait, confirmedBeforePause and the phase of a rate used for connections needed explaining. Change: maxUnreadTime, unconfirmedSincePause, spreadOver; no change of behaviour.

--- a/core/forwardadmit.cpp
+++ b/core/forwardadmit.cpp
@@ -206,7 +206,7 @@
     call.deadline = arrivedAt + std::min(event.request->timeLeft, route->timeout) - deadlineMargin;
     // What may be repeated is served even if its caller's time may be over.
     if (!route->idempotent)
-        call.deadline -= event.request->longestWait;
+        call.deadline -= event.request->maxUnreadTime;
     call.elapsedBeforeArrival = recordTimeLeft(*call.stats, event.request->timeLeft, now);
     call.partialAnswerAt
             = arrivedAt + route->targetLatency - call.elapsedBeforeArrival - answerMargin;
--- a/core/forwardcalls.h
+++ b/core/forwardcalls.h
@@ -13,7 +13,7 @@
 // Time since the known desired state was last confirmed; absent before the first time.
 auto stateAgeOf(const Forwarder &forwarder, TimePoint now) -> std::optional<Duration>;
 
-// Moves the deadline of a call forward if the instance exits before it.
+// Ends a call earlier than at its deadline if the instance exits before.
 auto shortenToStop(Forwarder &forwarder, Call &call) -> void;
 
 // Removes the call and reports how it ended.
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -49,7 +49,7 @@
     std::vector<HeaderField> headers; // only those that are forwarded to a leaf
     std::string body;
     Duration timeLeft = {}; // how much longer the caller waits, as it stated
-    Duration longestWait = {}; // for at most so long, the request waited unread at this instance
+    Duration maxUnreadTime = {}; // it may have waited that long at this instance before it was read
 };
 
 using ForwardRequestPtr = std::shared_ptr<const ForwardRequest>;
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -175,12 +175,18 @@
     return query.spec != nullptr && query.spec->coldRate > 0 && now < leaf.coldUntil;
 }
 
+// From 0 to 1, evenly spread over the instances for each leaf.
+auto spreadOver(const InstanceShare &share, const LeafState &leaf) -> double
+{
+    const auto hash = hashPair(share.instanceHash, leaf.idHash);
+    return std::ldexp(static_cast<double>(hash), -64);
+}
+
 } // namespace
 
 auto rateShareOf(const InstanceShare &share, const LeafState &leaf) -> RateShare
 {
-    const auto hash = hashPair(share.instanceHash, leaf.idHash);
-    return {share.instances, std::ldexp(static_cast<double>(hash), -64)};
+    return {share.instances, spreadOver(share, leaf)};
 }
 
 auto connectionLimit(const ServiceSpec *spec, const InstanceShare &share, const LeafState &leaf)
@@ -189,8 +195,9 @@
     const auto perLeafShare = ownConnectionShare(spec, share);
     if (!perLeafShare)
         return std::numeric_limits<std::size_t>::max();
-    return std::max(std::size_t(1),
-                    static_cast<std::size_t>(*perLeafShare + rateShareOf(share, leaf).phase));
+    // The fraction of the share is the part of the instances that are rounded up.
+    const auto rounded = static_cast<std::size_t>(*perLeafShare + spreadOver(share, leaf));
+    return std::max(std::size_t(1), rounded);
 }
 
 auto idleTimeout(const LeafState &leaf, const LeafConnection &connection) -> Duration
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -106,7 +106,8 @@
     const auto usualWait = reader.relay ? relayWatchWait : storeWatchWait;
     // A relay that no other instance has called yet needs the full time to get a reply from the
     // store itself.
-    const auto asksAtOnce = (channel.failures > 0 && !reader.relay) || channel.confirmedBeforePause;
+    const auto asksAtOnce
+            = (channel.failures > 0 && !reader.relay) || channel.unconfirmedSincePause;
     const auto maxWait = asksAtOnce ? recoveryWatchWait : usualWait;
     if (!channel.listed) {
         call.request = ListObjects{kind, channel.continueAfter};
@@ -458,14 +459,14 @@
 auto isConfirmedSincePause(const StoreReader &reader) -> bool
 {
     return std::none_of(reader.channels.begin(), reader.channels.end(),
-                        [](const ChannelState &channel) { return channel.confirmedBeforePause; });
+                        [](const ChannelState &channel) { return channel.unconfirmedSincePause; });
 }
 
 auto recordConfirmation(StoreReader &reader, std::size_t index, TimePoint confirmedAt,
                         TimePoint now, std::vector<StoreReaderAction> &actions) -> void
 {
     auto &channel = channelAt(reader, index);
-    if (std::exchange(channel.confirmedBeforePause, false) && isConfirmedSincePause(reader))
+    if (std::exchange(channel.unconfirmedSincePause, false) && isConfirmedSincePause(reader))
         actions.emplace_back(ForwardEvent(StateConfirmed()));
     if (std::exchange(channel.outdatedReported, false))
         actions.emplace_back(StoreNotification{StoreNotificationKind::CopyConfirmed,
@@ -535,7 +536,7 @@
     actions.emplace_back(CancelObjectCalls());
     for (std::size_t index = 0; index < objectKindCount; ++index) {
         auto &channel = channelAt(reader, index);
-        channel.confirmedBeforePause = isBoundedChannel(index) && channel.confirmedAt.has_value();
+        channel.unconfirmedSincePause = isBoundedChannel(index) && channel.confirmedAt.has_value();
         if (!channel.listed)
             resetListing(reader, index);
         channel.blocked = false;
@@ -662,7 +663,7 @@
     const auto age = copyAge(reader, kind, now);
     const auto isOld
             = isBoundedChannel(index) && age
-              && (*age > longestConfirmation || reader.channels.at(index).confirmedBeforePause);
+              && (*age > longestConfirmation || reader.channels.at(index).unconfirmedSincePause);
     if (isOld)
         return age;
     if (!reader.storeConfirmedAt)
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -164,7 +164,7 @@
     // latest list, less the store age that a relay stated.
     std::optional<TimePoint> confirmedAt;
     bool outdatedReported = false; // and not confirmed since
-    bool confirmedBeforePause = false; // and not since the latest pause of the process
+    bool unconfirmedSincePause = false; // confirmed before the process was paused, but not since
     Duration retryDelay = {}; // after the latest failure
     std::uint32_t failures = 0; // in a row
     // Of the object channels:
--- a/front/callertask.cpp
+++ b/front/callertask.cpp
@@ -33,7 +33,7 @@
         return;
     }
     auto &arrived = std::get<ForwardRequest>(request);
-    arrived.longestWait = this->reactor.inputAge();
+    arrived.maxUnreadTime = this->reactor.inputAge();
     const auto call = CallId(++this->lastCall);
     this->calls.insert_or_assign(caller, call);
     this->callers.emplace(call, caller);
--- a/tests/core_pause.cpp
+++ b/tests/core_pause.cpp
@@ -197,7 +197,7 @@
             request.host = "a.example";
             request.target = "/all/1";
             request.timeLeft = 800ms;
-            request.longestWait = 3s;
+            request.maxUnreadTime = 3s;
             const auto call = CallId(++fixture.lastCall);
             fixture.deliver(RequestArrived{call, std::make_shared<const ForwardRequest>(request)});
             return call;
