--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,9 +3,9 @@
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x review/bin/stop_uploads ] && [ -x target/instance/crocusreach ] || exit 2
+[ -x review/bin/relay_cut ] && [ -x target/instance/crocusreach ] || exit 2
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 code=0
-timeout -k 5 110 review/bin/stop_uploads "$folder" "$here/record.txt" || code=$?
+timeout -k 5 110 review/bin/relay_cut "$folder" "$here/record.txt" || code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
