--- a/review/standins/slow_reader.cpp
+++ b/review/standins/slow_reader.cpp
@@ -12,7 +12,7 @@
 constexpr auto work = 160ms; // of order-lookup
 constexpr auto timeBudget = 4000; // milliseconds, of order-lookup
 constexpr auto readBytes = std::size_t(40'000);
-constexpr auto readInterval = 25ms; // 1.6 MB/s
+constexpr auto readInterval = 30ms; // 1.33 MB/s
 
 struct Outcome
 {
@@ -31,6 +31,7 @@
     auto text = std::string();
     auto space = std::array<char, readBytes>();
     auto bodyStart = std::string::npos;
+    auto next = Clock::now();
     while (!outcome.complete && outcome.end.empty()) {
         const auto count = ::recv(socket, space.data(), space.size(), 0);
         if (count <= 0)
@@ -46,7 +47,7 @@
         if (bodyStart != std::string::npos)
             outcome.bytes = text.size() - bodyStart;
         outcome.complete = bodyStart != std::string::npos && outcome.bytes >= outcome.declared;
-        std::this_thread::sleep_for(readInterval);
+        std::this_thread::sleep_until(next += readInterval);
     }
     outcome.took = millisecondsSince(sentAt);
     return outcome;
