Confirm a copy only when its list is complete

A copy counted as confirmed with the first page of a list, though the rest of it was as old as before, and with a source that is behind the former one it counted as older than it was. Found while looking for other ways on which the age of a copy is misstated: the bound on it would have been kept on paper only.

Change: the last page confirms the copy, as of the start of the call for the first one; a confirmation never goes back. The source is considered after the confirmation that a reply brings, not before it.

--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -162,16 +162,6 @@
         publishLeafs(cache, changes, wasAway, actions);
 }
 
-auto onListCompleted(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
-        -> void
-{
-    if (!reader.stateRead && hasReadState(reader)) {
-        reader.stateRead = true;
-        actions.emplace_back(ForwardEvent(StateRead()));
-    }
-    reconsiderSource(reader, now, actions);
-}
-
 auto onReply(StoreReader &reader, std::size_t index, const ObjectsListed &listed, TimePoint now,
              std::vector<StoreReaderAction> &actions) -> void
 {
@@ -179,8 +169,10 @@
     auto &cache = kindCache(reader, index);
     auto changes = ChangeSet();
     // A list of several pages has the revision of the first one.
-    if (channel.continueAfter.empty())
+    if (channel.continueAfter.empty()) {
         channel.listRevision = listed.revision;
+        channel.listStartedAt = channel.callStartedAt;
+    }
     for (const auto &object : listed.objects) {
         cache.listedNames.insert(object.name);
         if (updateObject(cache, object, channel.listRevision))
@@ -199,8 +191,10 @@
         scheduleCall(channel, now + firstInstanceWatchDelay);
     else
         scheduleCall(channel, now + firstWatchDelay);
-    if (channel.listed)
-        onListCompleted(reader, now, actions);
+    if (!reader.stateRead && hasReadState(reader)) {
+        reader.stateRead = true;
+        actions.emplace_back(ForwardEvent(StateRead()));
+    }
 }
 
 auto onReply(StoreReader &reader, std::size_t index, const ObjectsChanged &changed, TimePoint now,
@@ -216,7 +210,6 @@
     publishChanges(reader, static_cast<ObjectKind>(index), std::move(changes), now, actions);
     // The next call starts with a later tick, so that it goes to the source chosen here.
     scheduleCall(channelAt(reader, index), changed.objects.empty() ? now : now + watchBatchDelay);
-    reconsiderSource(reader, now, actions);
 }
 
 auto onReply(StoreReader &reader, std::size_t index, const RevisionCompacted & /*compacted*/,
@@ -279,9 +272,10 @@
     if (std::exchange(channel.outdatedReported, false))
         actions.emplace_back(
                 makeCopyNotification(reader, StoreNotificationKind::CopyConfirmed, index, now));
-    channel.confirmedAt = confirmedAt;
+    // Another source may be behind the former one. The copy loses nothing by that.
+    channel.confirmedAt = std::max(channel.confirmedAt.value_or(confirmedAt), confirmedAt);
     if (static_cast<Channel>(index) == Channel::Routes)
-        actions.emplace_back(ForwardEvent(RoutesConfirmed{confirmedAt}));
+        actions.emplace_back(ForwardEvent(RoutesConfirmed{*channel.confirmedAt}));
 }
 
 // When the copy of a channel counts as outdated unless it is confirmed; nothing if it does already,
@@ -320,15 +314,18 @@
         return onReply(reader, index, CallFailed{StoreFailure::Stale}, now, actions);
     if (!failed)
         recordSuccess(reader, index, now, actions);
-    const auto isWatchReply = std::holds_alternative<ObjectsChanged>(reply.content);
-    const auto hasObjects = isWatchReply || std::holds_alternative<ObjectsListed>(reply.content);
-    // A watch is answered at the moment of its reply, a list at any time during the call.
-    const auto confirmedAt = (isWatchReply ? now : channelAt(reader, index).callStartedAt)
-                             - reply.storeAge.value_or(Duration());
     std::visit([&](const auto &content) { onReply(reader, index, content, now, actions); },
                reply.content);
-    if (hasObjects)
-        recordConfirmation(reader, index, confirmedAt, now, actions);
+    const auto &channel = channelAt(reader, index);
+    const auto storeAge = reply.storeAge.value_or(Duration());
+    // A watch is answered at the moment of its reply, and a list at any time since the start of the
+    // call for its first page.
+    if (std::holds_alternative<ObjectsChanged>(reply.content))
+        recordConfirmation(reader, index, now - storeAge, now, actions);
+    else if (std::holds_alternative<ObjectsListed>(reply.content) && channel.listed)
+        recordConfirmation(reader, index, channel.listStartedAt - storeAge, now, actions);
+    if (!failed && channel.listed)
+        reconsiderSource(reader, now, actions);
 }
 
 // Asks the source for all changes at once. Replies that came during the pause are dropped, since
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -198,6 +198,7 @@
     bool listed = false; // completely; the next call is a watch from the cache's revision
     std::string continueAfter; // of a list in progress
     std::uint64_t listRevision = 0; // of the first page of a list in progress
+    TimePoint listStartedAt = {}; // start of the call for that page
 };
 
 struct StoreReaderSettings
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -324,6 +324,15 @@
             // between the pages.
             CHECK(watchRequestOf(fixture.takeCallOn(Channel::Leafs)).revision == 10);
         }
+        THEN("the copy is confirmed by the last page, as of the start of the first one")
+        {
+            // Guards against a copy that counts as recent though half of it is old.
+            CHECK_FALSE(copyAge(fixture.reader, ObjectKind::Leafs, fixture.now));
+            fixture.advanceTime(400ms);
+            fixture.deliver(Channel::Leafs,
+                            ObjectsListed{{ReaderFixture::makeLeafObject("i-2", 11)}, {}, 12});
+            CHECK(copyAge(fixture.reader, ObjectKind::Leafs, fixture.now) == Duration(400ms));
+        }
     }
     WHEN("an object can't be used")
     {
