Count the last use of a removed leaf from when its entry was last seen

Cause: two waits that add up, until the removal is known (2.6 s and more) and from then on (1.5 s on the small sites, a constant that took the news for 1.5 s old).

Change: LeafsRemoved carries the time up to which the former copy was confirmed, when the entry was still there; lastUseOf() ends the leaf's use by the drain timeout from then, less the time for sending. The longer wait after an outage of the store is kept if the copy was unconfirmed for as long as it takes entries to expire, and no longer follows from one lost call. Event 209 names the source of the news and the age of the copy.

--- a/core/copyage.cpp
+++ b/core/copyage.cpp
@@ -16,6 +16,15 @@
 // A watch may hear nothing though changes are made, without a sign, if it begins while the store
 // drops its history.
 constexpr Duration maxStoreWait = std::chrono::milliseconds(1800);
+// An entry expires after three missing reports of its leaf, which come about every second.
+constexpr Duration minExpiryTime = std::chrono::seconds(3);
+// Time until a lost call to the store has been repeated.
+constexpr Duration lostCallTime = std::chrono::milliseconds(800);
+// Time from the decision to send a request until the request reaches the leaf.
+constexpr Duration sendingTime = std::chrono::milliseconds(300);
+// A removed leaf is used for this much less than the drain timeout, however recent the copy was.
+constexpr Duration minRemovalDelay = std::chrono::milliseconds(1500);
+
 } // namespace
 
 auto copyAgeLimits(const ChangeTimeouts &timeouts) -> CopyAgeLimits
@@ -26,6 +35,7 @@
     const auto latestCall = shortest - std::min(refreshReserve, shortest * 3 / 5);
     limits.outdated = shortest;
     limits.refresh = std::min(maxRefreshAge, latestCall);
+    limits.expiry = std::max(minExpiryTime, limits.refresh + lostCallTime);
     limits.storeWait = std::min(maxStoreWait, latestCall);
     // Without a fault, a copy read through a relay is at most as old as the relay's wait and its
     // probe interval together.
@@ -35,4 +45,11 @@
     return limits;
 }
 
+auto lastUseOf(TimePoint entrySeenAt, TimePoint removalKnownAt, Duration drainTimeout) -> TimePoint
+{
+    const auto latest = std::min(entrySeenAt + drainTimeout - sendingTime,
+                                 removalKnownAt + drainTimeout - minRemovalDelay);
+    return std::max(removalKnownAt, latest);
+}
+
 } // namespace crocusreach::forward
--- a/core/copyage.h
+++ b/core/copyage.h
@@ -28,10 +28,17 @@
     Duration relayWait = {};
     // A relay whose copy is older than this is given up for another one.
     Duration relayCopy = {};
+    // Entries of leafs that run may have expired if the store failed for this time. A lost call does
+    // not make a copy that old.
+    Duration expiry = {};
     // A relay asks the store for a sign of life if it had none for this time.
     Duration probe = {};
 };
 
 auto copyAgeLimits(const ChangeTimeouts &timeouts) -> CopyAgeLimits;
 
+// When a leaf gets its last request, if its entry was in the store at the first time and its
+// removal becomes known at the second one.
+auto lastUseOf(TimePoint entrySeenAt, TimePoint removalKnownAt, Duration drainTimeout) -> TimePoint;
+
 } // namespace crocusreach::forward
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forwarder.h"
 
+#include "copyage.h"
 #include "forwardadmit.h"
 #include "forwardcalls.h"
 #include "forwardconnections.h"
@@ -365,15 +366,12 @@
     // Entries that expired while the registry was unavailable are registered again within two
     // seconds of its return.
     constexpr Duration reregistrationTimeout = std::chrono::milliseconds(2500);
-    // Time that a change takes to reach this instance. It counts towards the drain timeout, by the
-    // end of which the removal must be in force.
-    constexpr Duration propagationDelay = std::chrono::milliseconds(1500);
-    const auto wait
-            = event.registryWasUnavailable
-                      ? reregistrationTimeout
-                      : std::max(Duration(), forwarder.settings.drainTimeout - propagationDelay);
+    const auto mayReturn = event.registryWasUnavailable && !event.seenAt;
+    const auto lastUse = mayReturn ? now + reregistrationTimeout
+                                   : lastUseOf(event.seenAt.value_or(now), now,
+                                               forwarder.settings.drainTimeout);
     for (const auto &id : event.ids)
-        removeLeaf(forwarder.leafs, id, now + wait, now);
+        removeLeaf(forwarder.leafs, id, lastUse, now);
 }
 
 auto onEvent(Forwarder &forwarder, const DomainsEvacuated &event, TimePoint now,
--- a/core/forwardmessages.h
+++ b/core/forwardmessages.h
@@ -144,6 +144,10 @@
 {
     std::vector<std::string> ids;
     bool registryWasUnavailable = false; // the entries may have expired although the leafs run
+    // The registry still had the entries then. Absent after an outage of the registry that was long
+    // enough for entries to expire.
+    std::optional<TimePoint> seenAt;
+    std::string source; // address of the instance that the removal was read from; empty: the store
 };
 
 // All failure domains that get no requests.
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -119,11 +119,33 @@
     return std::get_if<LeafRecord>(&found->second.object.content);
 }
 
-auto publishLeafs(const KindCache &cache, const ChangeSet &changes, bool registryWasUnavailable,
+// True if the copy of the leafs was not confirmed for so long that entries may have expired.
+auto mayHaveExpired(const StoreReader &reader, TimePoint now) -> bool
+{
+    const auto age = copyAge(reader, ObjectKind::Leafs, now);
+    return age && *age >= reader.limits.expiry;
+}
+
+auto isWithin(const std::optional<TimePoint> &at, Duration window, TimePoint now) -> bool
+{
+    return at && now - *at < window;
+}
+
+auto publishLeafs(const StoreReader &reader, const ChangeSet &changes, TimePoint now,
                   std::vector<StoreReaderAction> &actions) -> void
 {
+    constexpr auto index = static_cast<std::size_t>(ObjectKind::Leafs);
+    const auto &cache = reader.cache.kinds.at(index);
+    const auto &channel = reader.channels.at(index);
     auto registered = LeafsRegistered();
-    auto removed = LeafsRemoved{{}, registryWasUnavailable};
+    auto removed = LeafsRemoved();
+    removed.source = reader.source;
+    removed.registryWasUnavailable = isWithin(reader.storeFailedAt, entryExpiryWindow, now);
+    const auto wasLongAway = removed.registryWasUnavailable
+                             && (mayHaveExpired(reader, now)
+                                 || isWithin(reader.expiryEndedAt, entryExpiryWindow, now));
+    if (!wasLongAway)
+        removed.seenAt = channel.confirmedAt;
     for (const auto &name : changes.names) {
         if (const auto *const leaf = findLeafRecord(cache, name))
             registered.leafs.push_back(*leaf);
@@ -157,9 +179,8 @@
                 static_cast<std::uint32_t>(cache.objects.size() - cache.deletedObjects)}));
     for (auto &table : changes.tables)
         actions.emplace_back(ForwardEvent(RoutesChanged{std::move(table)}));
-    const auto wasAway = reader.storeFailedAt && now - *reader.storeFailedAt < entryExpiryWindow;
     if (kind == ObjectKind::Leafs)
-        publishLeafs(cache, changes, wasAway, actions);
+        publishLeafs(reader, changes, now, actions);
 }
 
 auto onReply(StoreReader &reader, std::size_t index, const ObjectsListed &listed, TimePoint now,
@@ -272,6 +293,8 @@
     if (std::exchange(channel.outdatedReported, false))
         actions.emplace_back(
                 makeCopyNotification(reader, StoreNotificationKind::CopyConfirmed, index, now));
+    if (static_cast<Channel>(index) == Channel::Leafs && mayHaveExpired(reader, now))
+        reader.expiryEndedAt = now;
     // Another source may be behind the former one. The copy loses nothing by that.
     channel.confirmedAt = std::max(channel.confirmedAt.value_or(confirmedAt), confirmedAt);
     if (static_cast<Channel>(index) == Channel::Routes)
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -231,6 +231,9 @@
     std::optional<TimePoint> storeFallbackAt; // the latest switch from a relay to the store
     std::uint32_t storeFallbacks = 0; // that followed one another closely
     std::optional<TimePoint> storeFailedAt; // latest failure of a call to the store
+    // Latest end of a time in which the copy of the leafs was not confirmed for so long that
+    // entries may have expired.
+    std::optional<TimePoint> expiryEndedAt;
     // Start of the latest call that the store has answered.
     std::optional<TimePoint> storeConfirmedAt;
     std::optional<TimePoint> lastRelayCallAt; // of another instance to this one
--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -1,5 +1,6 @@
 #include "frontlog.h"
 
+#include "base/clock.h"
 #include "core/text.h"
 
 #include <variant>
@@ -15,6 +16,18 @@
     return value ? "yes" : "no";
 }
 
+// Milliseconds, or that the time isn't known or there was none.
+auto ageText(const std::optional<Duration> &age) -> std::string
+{
+    return age ? millisecondsText(*age) : "none";
+}
+
+// Address of a relay, or the store.
+auto sourceText(const std::string &address) -> std::string
+{
+    return address.empty() ? "store" : address;
+}
+
 auto log(const LeafsRegistered &event) -> void
 {
     for (const auto &leaf : event.leafs) {
@@ -30,9 +43,12 @@
 
 auto log(const LeafsRemoved &event) -> void
 {
+    const auto age = event.seenAt ? std::optional(decisionNow() - *event.seenAt) : std::nullopt;
     for (const auto &id : event.ids)
-        logEvent(LogEvent::LeafRemoved,
-                 {{"leaf", id}, {"store_was_away", yesOrNo(event.registryWasUnavailable)}});
+        logEvent(LogEvent::LeafRemoved, {{"leaf", id},
+                                         {"store_was_away", yesOrNo(event.registryWasUnavailable)},
+                                         {"source", sourceText(event.source)},
+                                         {"copy_age_ms", ageText(age)}});
 }
 
 auto log(const DomainsEvacuated &event) -> void
@@ -43,18 +59,6 @@
     logEvent(LogEvent::EvacuationsChanged, {{"domains", names}});
 }
 
-// Milliseconds, or that the time isn't known or there was none.
-auto ageText(const std::optional<Duration> &age) -> std::string
-{
-    return age ? millisecondsText(*age) : "none";
-}
-
-// Address of a relay, or the store.
-auto sourceText(const std::string &address) -> std::string
-{
-    return address.empty() ? "store" : address;
-}
-
 auto log(const InstancesCounted &event) -> void
 {
     logEvent(LogEvent::InstancesCounted, {{"instances", std::to_string(event.instances)}});
--- a/tests/core_copyage.cpp
+++ b/tests/core_copyage.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "core/forwarder.h"
 #include "core/storereader.h"
 
 #include <algorithm>
@@ -44,6 +45,7 @@
     TimePoint endsAt = {};
     bool isAnswered = false;
     std::optional<Duration> storeAge;
+    TimePoint knownUntil = {}; // the answer holds all changes up to then
 };
 
 auto addressOf(std::size_t relay) -> std::string
@@ -51,7 +53,10 @@
     return "10.0.0." + std::to_string(relay + 1) + ":1";
 }
 
-// A reader with three relays that fail in any way, and a store that answers each call.
+constexpr auto leafId = "i-1";
+
+// A reader with three relays that fail in any way, and a store that answers each call. The store
+// has one leaf, until it is removed.
 struct RelayedReader
 {
     explicit RelayedReader(std::uint32_t seed = 1, const ChangeTimeouts &timeouts = {})
@@ -62,6 +67,9 @@
         for (std::size_t relay = 0; relay < relayCount; ++relay)
             settings.relays.push_back(addressOf(relay));
         settings.timeouts = timeouts;
+        auto forwarding = ForwarderSettings();
+        forwarding.drainTimeout = timeouts.drain;
+        configure(this->forwarder, forwarding);
         startReading(this->reader, settings, this->now, this->actions);
         this->perform();
         this->run(startDuration);
@@ -92,6 +100,7 @@
             this->endCalls();
             handle(this->reader, StoreReaderTick(), this->now, this->actions);
             this->perform();
+            this->inform(ForwarderTick());
             // A reader that asks for a tick again and again would spin.
             REQUIRE(++this->events < 1'000'000);
         }
@@ -99,6 +108,26 @@
         this->recordAges();
     }
 
+    // The store removes the leaf, and tells the watches that wait there.
+    auto removeLeaf() -> void
+    {
+        this->leafRemovedAt = this->now;
+        const auto watch = this->running.find(Channel::Leafs);
+        if (watch == this->running.end() || !watch->second.call.address.empty()
+            || !watch->second.isAnswered)
+            return;
+        watch->second.endsAt = std::min(watch->second.endsAt, this->now + linkDelay);
+        watch->second.knownUntil = this->now;
+    }
+
+    auto usesLeaf() -> bool
+    {
+        const auto found = this->forwarder.leafs.byId.find(leafId);
+        return found != this->forwarder.leafs.byId.end()
+               && isUsable(this->forwarder.leafs, leafAt(this->forwarder.leafs, found->second),
+                           this->now);
+    }
+
     // The age of the oldest copy that requests depend on.
     auto age() const -> Duration
     {
@@ -109,6 +138,7 @@
     }
 
     StoreReader reader;
+    Forwarder forwarder;
     TimePoint now = TimePoint(1h);
     std::size_t storeCalls = 0;
     Duration highestAge = {}; // since the first reading
@@ -135,6 +165,7 @@
     auto nextEventAt() const -> TimePoint
     {
         auto next = nextTickAt(this->reader).value_or(TimePoint::max());
+        next = std::min(next, nextTickAt(this->forwarder).value_or(TimePoint::max()));
         for (const auto &[channel, call] : this->running)
             next = std::min(next, call.endsAt);
         return next;
@@ -151,7 +182,7 @@
             this->running.erase(item);
             auto content = StoreReplyContent(CallFailed{StoreFailure::Unreachable});
             if (ended.isAnswered)
-                content = answerTo(ended.call);
+                content = this->answerTo(ended);
             handle(this->reader, StoreReply{ended.call.channel, std::move(content), ended.storeAge},
                    this->now, this->actions);
             this->perform();
@@ -159,17 +190,23 @@
         }
     }
 
-    static auto answerTo(const StoreCall &call) -> StoreReplyContent
+    auto answerTo(const RunningCall &ended) const -> StoreReplyContent
     {
-        if (std::holds_alternative<WatchObjects>(call.request))
-            return ObjectsChanged{{}, 10};
-        const auto *const list = std::get_if<ListObjects>(&call.request);
+        const auto isRemoved = this->leafRemovedAt && *this->leafRemovedAt <= ended.knownUntil;
+        const auto revision = std::uint64_t(isRemoved ? 20 : 10);
+        if (const auto *const watch = std::get_if<WatchObjects>(&ended.call.request)) {
+            auto changed = ObjectsChanged{{}, revision};
+            if (watch->kind == ObjectKind::Leafs && isRemoved && watch->revision < revision)
+                changed.objects.push_back(makeLeafObject(revision, true));
+            return changed;
+        }
+        const auto *const list = std::get_if<ListObjects>(&ended.call.request);
         if (list == nullptr)
             return CallSucceeded();
-        auto listed = ObjectsListed{{}, {}, 10};
-        if (list->kind != ObjectKind::Instances)
-            return listed;
-        for (auto number = 0; number < 20; ++number) {
+        auto listed = ObjectsListed{{}, {}, revision};
+        if (list->kind == ObjectKind::Leafs && !isRemoved)
+            listed.objects.push_back(makeLeafObject(5, false));
+        for (auto number = 0; list->kind == ObjectKind::Instances && number < 20; ++number) {
             auto object = StoredObject();
             object.name = "front-" + std::to_string(number);
             object.revision = 1;
@@ -179,11 +216,27 @@
         return listed;
     }
 
+    static auto makeLeafObject(std::uint64_t revision, bool deleted) -> StoredObject
+    {
+        auto object = StoredObject();
+        object.name = leafId;
+        object.revision = revision;
+        object.deleted = deleted;
+        auto record = LeafRecord();
+        record.id = leafId;
+        record.service = "ledger";
+        record.address = "10.1.0.1:80";
+        record.revision = revision;
+        object.content = record;
+        return object;
+    }
+
     auto startStoreCall(const StoreCall &call, Duration wait) -> RunningCall
     {
         ++this->storeCalls;
         const auto isLost = this->lostCalls != 0 && this->randomBelow(this->lostCalls) == 0;
-        return {call, this->now + (isLost ? call.timeout : wait + linkDelay), !isLost, {}};
+        const auto answerAt = this->now + (isLost ? call.timeout : wait + linkDelay);
+        return {call, answerAt, !isLost, {}, answerAt - linkDelay};
     }
 
     auto startRelayCall(const StoreCall &call, Duration wait) -> RunningCall
@@ -199,15 +252,15 @@
             answerAt += Duration(1ms * this->randomBelow(3000));
         const auto timeoutAt = this->now + call.timeout;
         if (found->fault == RelayFault::Refusing)
-            return {call, this->now + linkDelay, false, {}};
+            return {call, this->now + linkDelay, false, {}, {}};
         if (found->fault == RelayFault::Silent || answerAt > timeoutAt)
-            return {call, timeoutAt, false, {}};
+            return {call, timeoutAt, false, {}, {}};
         // It states its age when it sends the answer.
         const auto sentAt = answerAt - linkDelay;
         const auto heardAt = found->fault == RelayFault::CutOff
                                      ? found->storeAnsweredAt
                                      : sentAt - this->reader.limits.probe;
-        return {call, answerAt, true, sentAt - heardAt};
+        return {call, answerAt, true, sentAt - heardAt, heardAt};
     }
 
     auto perform() -> void
@@ -219,6 +272,8 @@
                 std::erase_if(this->running, [](const auto &item) {
                     return static_cast<std::size_t>(item.first) < objectKindCount;
                 });
+            if (const auto *const event = std::get_if<ForwardEvent>(&action))
+                this->inform(*event);
             const auto *const call = std::get_if<StoreCall>(&action);
             if (call == nullptr)
                 continue;
@@ -231,7 +286,14 @@
         }
     }
 
+    auto inform(const ForwardEvent &event) -> void
+    {
+        auto answers = std::vector<ForwardAction>();
+        handle(this->forwarder, event, this->now, answers);
+    }
+
     std::mt19937 random;
+    std::optional<TimePoint> leafRemovedAt;
     std::array<RelayModel, relayCount> relays;
     std::map<Channel, RunningCall> running;
     std::vector<StoreReaderAction> actions;
@@ -360,3 +422,50 @@
         CHECK(instance.highestAge <= instance.reader.limits.outdated);
     }
 }
+
+// Guards against requests to a leaf that is gone: the time until its removal is known, and the time
+// for which it is still used then, each kept to a limit of their own (review/3, DRAIN).
+SCENARIO("a leaf is removed while the relays are sound or not")
+{
+    // The last request is on its way to the leaf.
+    constexpr auto sendingTime = 200ms;
+    const auto [first, count] = seedsFromEnvironment();
+    for (auto seed = first; seed < first + 4 * count; ++seed) {
+        auto timeouts = ChangeTimeouts();
+        timeouts.routes = timeouts.drain = std::array<Duration, 3>{3s, 5s, 6s}.at(seed % 3);
+        auto instance = RelayedReader(seed, timeouts);
+        instance.lostCalls = seed % 5 == 0 ? 40 : 0;
+        REQUIRE(instance.usesLeaf());
+        instance.run(Duration(1ms * instance.randomBelow(3000)));
+        const auto faulty = instance.randomBelow(relayCount + 1);
+        const auto fault = static_cast<RelayFault>(
+                instance.randomBelow(static_cast<std::size_t>(RelayFault::Count)));
+        for (std::size_t relay = 0; relay < faulty; ++relay)
+            instance.setFault(relay, fault, 8s);
+        instance.run(Duration(1ms * instance.randomBelow(6000)));
+        instance.removeLeaf();
+        instance.run(timeouts.drain - sendingTime);
+        INFO("seed " << seed << ", fault " << static_cast<int>(fault) << " of " << faulty);
+        CHECK_FALSE(instance.usesLeaf());
+    }
+}
+
+// Guards against a removal that takes effect so early that a leaf is lost for a moment's delay of
+// its report, though there is time to wait for its return.
+SCENARIO("a removed leaf is used on as long as the drain timeout allows")
+{
+    const auto removalKnownAt = TimePoint(1h);
+    GIVEN("a recent copy")
+    {
+        CHECK(lastUseOf(removalKnownAt - 500ms, removalKnownAt, 3s) == removalKnownAt + 1500ms);
+        CHECK(lastUseOf(removalKnownAt - 500ms, removalKnownAt, 6s) == removalKnownAt + 4500ms);
+    }
+    GIVEN("an older copy")
+    {
+        CHECK(lastUseOf(removalKnownAt - 2s, removalKnownAt, 3s) == removalKnownAt + 700ms);
+    }
+    GIVEN("a copy that is older than the drain timeout")
+    {
+        CHECK(lastUseOf(removalKnownAt - 4s, removalKnownAt, 3s) == removalKnownAt);
+    }
+}
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -299,6 +299,27 @@
                 REQUIRE(fixture.findEvent<LeafsRemoved>());
                 CHECK(fixture.findEvent<LeafsRemoved>().value().registryWasUnavailable);
             }
+            THEN("a leaf that is missing after a lost call was seen when the copy was confirmed")
+            {
+                const auto confirmedAt = fixture.now;
+                fixture.advanceTime(700ms);
+                fixture.deliver(
+                        Channel::Leafs,
+                        ObjectsChanged{{ReaderFixture::makeLeafObject("i-1", 14, true)}, 14});
+                CHECK(fixture.findEvent<LeafsRemoved>().value().seenAt == confirmedAt);
+            }
+            THEN("a leaf that is missing after a long outage may have been away for any time")
+            {
+                // Guards against a store outage that takes all leafs out of use at its end.
+                fixture.advanceTime(4s);
+                fixture.deliver(Channel::Leafs, CallFailed{StoreFailure::Unreachable});
+                fixture.deliver(Channel::Leafs, ObjectsChanged{{}, 14});
+                fixture.advanceTime(1s);
+                fixture.deliver(
+                        Channel::Leafs,
+                        ObjectsChanged{{ReaderFixture::makeLeafObject("i-1", 15, true)}, 15});
+                CHECK_FALSE(fixture.findEvent<LeafsRemoved>().value().seenAt);
+            }
             THEN("retry delays grow and stay below two seconds")
             {
                 for (auto failures = 0; failures < 10; ++failures) {
