Count a watch's wait from the latest confirmation

Change: the store replies by the usual time after the latest confirmation, so that a later watch waits for less, and for half of the time at the least.

--- a/core/storecalls.cpp
+++ b/core/storecalls.cpp
@@ -38,6 +38,15 @@
             WatchObjects{kind, revision, maxWait}, maxWait + relayReplyTimeout};
 }
 
+// The store confirms the copy at this interval, also if the watch begins some time after the latest
+// confirmation.
+auto boundedStoreWait(const StoreReader &reader, const ChannelState &channel) -> Duration
+{
+    const auto interval = reader.limits.storeWait;
+    const auto age = channel.callStartedAt - channel.confirmedAt.value_or(channel.callStartedAt);
+    return std::clamp(interval - age, interval / 2, interval);
+}
+
 auto makeObjectCall(const StoreReader &reader, std::size_t index) -> StoreCall
 {
     const auto &channel = reader.channels.at(index);
@@ -48,7 +57,7 @@
         return call;
     }
     const auto isBounded = isBoundedChannel(index);
-    const auto storeWait = isBounded ? reader.limits.storeWait : unboundedWatchWait;
+    const auto storeWait = isBounded ? boundedStoreWait(reader, channel) : unboundedWatchWait;
     const auto isFirst = isBounded && !channel.sourceAnswered;
     const auto isUnsure = channel.failures > 0 || isFirst;
     // A relay that no other instance has called yet needs the full time to get a reply from the
--- a/tests/core_copyage.cpp
+++ b/tests/core_copyage.cpp
@@ -46,6 +46,7 @@
     bool isAnswered = false;
     std::optional<Duration> storeAge;
     TimePoint knownUntil = {}; // the answer holds all changes up to then
+    bool tellsChange = false; // of another leaf
 };
 
 auto addressOf(std::size_t relay) -> std::string
@@ -142,6 +143,7 @@
     TimePoint now = TimePoint(1h);
     std::size_t storeCalls = 0;
     Duration highestAge = {}; // since the first reading
+    bool leafsChange = false; // now and then
     std::uint32_t lostCalls = 0; // one in this many calls to the store gets no answer; 0: none
 
 private:
@@ -190,14 +192,16 @@
         }
     }
 
-    auto answerTo(const RunningCall &ended) const -> StoreReplyContent
+    auto answerTo(const RunningCall &ended) -> StoreReplyContent
     {
         const auto isRemoved = this->leafRemovedAt && *this->leafRemovedAt <= ended.knownUntil;
         const auto revision = std::uint64_t(isRemoved ? 20 : 10);
         if (const auto *const watch = std::get_if<WatchObjects>(&ended.call.request)) {
             auto changed = ObjectsChanged{{}, revision};
             if (watch->kind == ObjectKind::Leafs && isRemoved && watch->revision < revision)
-                changed.objects.push_back(makeLeafObject(revision, true));
+                changed.objects.push_back(makeLeafObject(leafId, revision, true));
+            if (ended.tellsChange)
+                changed.objects.push_back(makeLeafObject("i-2", ++this->otherRevision, false));
             return changed;
         }
         const auto *const list = std::get_if<ListObjects>(&ended.call.request);
@@ -205,7 +209,7 @@
             return CallSucceeded();
         auto listed = ObjectsListed{{}, {}, revision};
         if (list->kind == ObjectKind::Leafs && !isRemoved)
-            listed.objects.push_back(makeLeafObject(5, false));
+            listed.objects.push_back(makeLeafObject(leafId, 5, false));
         for (auto number = 0; list->kind == ObjectKind::Instances && number < 20; ++number) {
             auto object = StoredObject();
             object.name = "front-" + std::to_string(number);
@@ -216,16 +220,16 @@
         return listed;
     }
 
-    static auto makeLeafObject(std::uint64_t revision, bool deleted) -> StoredObject
+    static auto makeLeafObject(const char *id, std::uint64_t revision, bool deleted) -> StoredObject
     {
         auto object = StoredObject();
-        object.name = leafId;
+        object.name = id;
         object.revision = revision;
         object.deleted = deleted;
         auto record = LeafRecord();
-        record.id = leafId;
+        record.id = id;
         record.service = "ledger";
-        record.address = "10.1.0.1:80";
+        record.address = std::string("10.1.0.") + id[2] + ":80";
         record.revision = revision;
         object.content = record;
         return object;
@@ -235,8 +239,14 @@
     {
         ++this->storeCalls;
         const auto isLost = this->lostCalls != 0 && this->randomBelow(this->lostCalls) == 0;
-        const auto answerAt = this->now + (isLost ? call.timeout : wait + linkDelay);
-        return {call, answerAt, !isLost, {}, answerAt - linkDelay};
+        const auto *const watch = std::get_if<WatchObjects>(&call.request);
+        const auto tellsChange = this->leafsChange && watch != nullptr
+                                 && watch->kind == ObjectKind::Leafs && this->randomBelow(3) == 0;
+        const auto percent = static_cast<Duration::rep>(tellsChange ? this->randomBelow(100) : 100);
+        const auto answerAt = this->now + wait * percent / 100 + linkDelay;
+        if (isLost)
+            return {call, this->now + call.timeout, false, {}, {}};
+        return {call, answerAt, true, {}, answerAt - linkDelay, tellsChange};
     }
 
     auto startRelayCall(const StoreCall &call, Duration wait) -> RunningCall
@@ -294,6 +304,7 @@
 
     std::mt19937 random;
     std::optional<TimePoint> leafRemovedAt;
+    std::uint64_t otherRevision = 100; // of another leaf's entry
     std::array<RelayModel, relayCount> relays;
     std::map<Channel, RunningCall> running;
     std::vector<StoreReaderAction> actions;
@@ -411,6 +422,7 @@
         auto instance = RelayedReader(seed, timeouts);
         // In some runs, the store's answer to a call is lost now and then.
         instance.lostCalls = seed % 3 == 0 ? 400 : 0;
+        instance.leafsChange = seed % 2 == 0;
         for (auto round = 0; round < 40; ++round) {
             const auto fault = static_cast<RelayFault>(
                     instance.randomBelow(static_cast<std::size_t>(RelayFault::Count)));
@@ -435,6 +447,7 @@
         timeouts.routes = timeouts.drain = std::array<Duration, 3>{3s, 5s, 6s}.at(seed % 3);
         auto instance = RelayedReader(seed, timeouts);
         instance.lostCalls = seed % 5 == 0 ? 40 : 0;
+        instance.leafsChange = seed % 2 == 0;
         REQUIRE(instance.usesLeaf());
         instance.run(Duration(1ms * instance.randomBelow(3000)));
         const auto faulty = instance.randomBelow(relayCount + 1);
