Spare the store while all instances watch it

Change: an instance that watches the store for want of a relay pauses for up to 1 s after a change, as far as the operators' timeouts allow. Relays that are asked in vain are asked again after 1 to 2 s; an instance stays at the store for longer only if relays served it for less than 5 s, which costs more calls than it saves.

--- a/core/copyage.cpp
+++ b/core/copyage.cpp
@@ -16,6 +16,9 @@
 // A watch may hear nothing though changes are made, without a sign, if it begins while the store
 // drops its history.
 constexpr Duration maxStoreWait = std::chrono::milliseconds(1800);
+// Changes often come in bursts, which each instance then reads in one reply.
+constexpr Duration minCrowdedPause = std::chrono::milliseconds(300);
+constexpr Duration maxCrowdedPause = std::chrono::milliseconds(1000);
 // An entry expires after three missing reports of its leaf, which come about every second.
 constexpr Duration minExpiryTime = std::chrono::seconds(3);
 // Time until a lost call to the store has been repeated.
@@ -37,6 +40,7 @@
     limits.refresh = std::min(maxRefreshAge, latestCall);
     limits.expiry = std::max(minExpiryTime, limits.refresh + lostCallTime);
     limits.storeWait = std::min(maxStoreWait, latestCall);
+    limits.crowdedPause = std::clamp(latestCall - limits.refresh, minCrowdedPause, maxCrowdedPause);
     // Without a fault, a copy read through a relay is at most as old as the relay's wait and its
     // probe interval together.
     limits.relayWait = limits.refresh * 2 / 5;
--- a/core/copyage.h
+++ b/core/copyage.h
@@ -26,10 +26,13 @@
     // The store, or a relay, replies to a watch at least this often.
     Duration storeWait = {};
     Duration relayWait = {};
+    // Pause before the next watch after a change, while many instances watch the store for want of
+    // a relay.
+    Duration crowdedPause = {};
     // A relay whose copy is older than this is given up for another one.
     Duration relayCopy = {};
-    // Entries of leafs that run may have expired if the store failed for this time. A lost call does
-    // not make a copy that old.
+    // Entries of leafs that run may have expired if the store failed for this time. A lost call
+    // does not make a copy that old.
     Duration expiry = {};
     // A relay asks the store for a sign of life if it had none for this time.
     Duration probe = {};
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -230,7 +230,8 @@
     cache.revision = std::max(cache.revision, changed.revision);
     publishChanges(reader, static_cast<ObjectKind>(index), std::move(changes), now, actions);
     // The next call starts with a later tick, so that it goes to the source chosen here.
-    scheduleCall(channelAt(reader, index), changed.objects.empty() ? now : now + watchBatchDelay);
+    const auto pause = wantsRelay(reader) ? reader.limits.crowdedPause : watchBatchDelay;
+    scheduleCall(channelAt(reader, index), changed.objects.empty() ? now : now + pause);
 }
 
 auto onReply(StoreReader &reader, std::size_t index, const RevisionCompacted & /*compacted*/,
@@ -273,8 +274,7 @@
     scheduleCall(channel, now + withJitter(reader, channel.retryDelay));
     blockBehindFailedChannel(reader, index);
     // An instance that starts while the store is unreachable reads from a relay.
-    if (!reader.stateRead && canUseRelays(reader) && !reader.relay
-        && now >= reader.storeFallbackUntil)
+    if (!reader.stateRead && canUseRelays(reader) && !reader.relay && now >= reader.storeStayUntil)
         switchToPreferredRelay(reader, SourceChangeReason::SourceFailed, now, actions);
 }
 
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -227,9 +227,10 @@
     std::optional<std::size_t> probedRelay; // index of the relay that is being asked
     std::size_t nextCandidate = 0; // index of the relay to be asked next
     std::size_t failedCandidates = 0; // in a row
-    TimePoint storeFallbackUntil = {}; // no relay is asked before
-    std::optional<TimePoint> storeFallbackAt; // the latest switch from a relay to the store
-    std::uint32_t storeFallbacks = 0; // that followed one another closely
+    TimePoint storeStayUntil = {}; // no relay is asked before
+    TimePoint relaySince
+            = {}; // start of the time in which relays have been watched without a break
+    std::uint32_t shortRelayStays = 0; // such times in a row that were short
     std::optional<TimePoint> storeFailedAt; // latest failure of a call to the store
     // Latest end of a time in which the copy of the leafs was not confirmed for so long that
     // entries may have expired.
--- a/core/storesource.cpp
+++ b/core/storesource.cpp
@@ -9,12 +9,13 @@
 
 namespace {
 
-// After all relays have failed, none is asked for this time.
-constexpr Duration storeFallbackTime = std::chrono::seconds(4);
-constexpr std::uint32_t maxFallbackDoublings = 2;
-// A relay that has served for this time counts as reliable again. Switches to the store that follow
-// one another sooner make the instance stay there longer each time.
-constexpr Duration relayTrustTime = std::chrono::seconds(30);
+// After each relay has failed, or was asked in vain, the next round begins within this time.
+constexpr Duration relayRoundPause = std::chrono::seconds(2);
+// A relay that serves for less than this causes more calls to the store, by the switches, than it
+// saves. If that happens in a row, the instance stays at the store for longer each time.
+constexpr Duration relayTrustTime = std::chrono::seconds(5);
+constexpr Duration storeStayTime = std::chrono::seconds(4);
+constexpr std::uint32_t maxStayDoublings = 2;
 // After a failure of its preferred relay, an instance tries it again after one to two times this
 // delay. Otherwise all instances would end up at the relay that has failed least often.
 constexpr Duration preferredRelayRetryDelay = std::chrono::seconds(30);
@@ -64,6 +65,8 @@
             reader.source, relay ? reader.settings.relays.at(*relay) : std::string());
     notification.source = reader.source;
     notification.age = now - oldestConfirmation(reader).value_or(now);
+    if (relay && !reader.relay)
+        reader.relaySince = now;
     reader.relay = relay;
     reader.relayWasProbed = reason == SourceChangeReason::RelayAnswered;
     reader.preferredRelayRetryAt.reset();
@@ -99,12 +102,6 @@
     return reader.channels.at(relayProbeIndex).running;
 }
 
-// True if a relay should be watched in place of the store, once one is known to be good.
-auto wantsRelay(const StoreReader &reader) -> bool
-{
-    return !reader.relay && canUseRelays(reader) && reader.stateRead && isLargeDeployment(reader);
-}
-
 // When the copy that is read through a relay is too old.
 auto refreshDueAt(const StoreReader &reader) -> std::optional<TimePoint>
 {
@@ -115,24 +112,23 @@
 }
 
 // How long the store is watched before a relay is asked again.
-auto fallbackTime(StoreReader &reader, TimePoint now) -> Duration
+auto storeStay(StoreReader &reader, TimePoint now) -> Duration
 {
-    const auto isRepeated
-            = reader.storeFallbackAt && now - *reader.storeFallbackAt < relayTrustTime;
-    reader.storeFallbacks
-            = isRepeated ? std::min(reader.storeFallbacks + 1, maxFallbackDoublings + 1) : 0;
-    reader.storeFallbackAt = now;
-    const auto allFailed = reader.failedRelays >= reader.settings.relays.size();
-    if (reader.storeFallbacks == 0)
-        return allFailed ? storeFallbackTime : Duration();
-    return withJitter(reader, 2 * storeFallbackTime * (1U << (reader.storeFallbacks - 1)));
+    const auto served = reader.relay ? now - reader.relaySince : relayTrustTime;
+    if (served >= relayTrustTime) {
+        reader.shortRelayStays = 0;
+        const auto allFailed = reader.failedRelays >= reader.settings.relays.size();
+        return allFailed ? withJitter(reader, relayRoundPause) : Duration();
+    }
+    const auto doublings = std::min(reader.shortRelayStays++, maxStayDoublings);
+    return withJitter(reader, storeStayTime * (1U << doublings));
 }
 
 // Asks the relays in turn, one at a time, until one shows a recent copy.
 auto considerRelays(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
         -> void
 {
-    if (!wantsRelay(reader) || now < reader.storeFallbackUntil || isProbingRelay(reader))
+    if (!wantsRelay(reader) || now < reader.storeStayUntil || isProbingRelay(reader))
         return;
     if (!reader.relayMustAnswer)
         return switchToPreferredRelay(reader, SourceChangeReason::ManyInstances, now, actions);
@@ -160,7 +156,7 @@
     if (++reader.failedCandidates < reader.settings.relays.size())
         return;
     reader.failedCandidates = 0;
-    reader.storeFallbackUntil = now + withJitter(reader, 2 * storeFallbackTime);
+    reader.storeStayUntil = now + withJitter(reader, relayRoundPause);
 }
 
 } // namespace
@@ -170,6 +166,11 @@
     return !reader.settings.isRelay && !reader.settings.relays.empty();
 }
 
+auto wantsRelay(const StoreReader &reader) -> bool
+{
+    return !reader.relay && canUseRelays(reader) && reader.stateRead && isLargeDeployment(reader);
+}
+
 auto switchToPreferredRelay(StoreReader &reader, SourceChangeReason reason, TimePoint now,
                             std::vector<StoreReaderAction> &actions) -> void
 {
@@ -193,7 +194,7 @@
         reader.relayMustAnswer = true;
         reader.failedCandidates = 0;
         reader.nextCandidate = relayAfter(reader, reader.relay.value_or(0));
-        reader.storeFallbackUntil = now + fallbackTime(reader, now);
+        reader.storeStayUntil = now + storeStay(reader, now);
     }
     changeSource(reader, {}, reason, now, actions);
 }
@@ -228,7 +229,7 @@
     if (isProbingRelay(reader))
         return wake;
     if (wantsRelay(reader))
-        wake = std::min(wake.value_or(TimePoint::max()), reader.storeFallbackUntil);
+        wake = std::min(wake.value_or(TimePoint::max()), reader.storeStayUntil);
     if (reader.preferredRelayRetryAt)
         wake = std::min(wake.value_or(TimePoint::max()), *reader.preferredRelayRetryAt);
     return wake;
--- a/core/storesource.h
+++ b/core/storesource.h
@@ -11,6 +11,9 @@
 // True if a relay may be watched: the settings name others, and this instance is none itself.
 auto canUseRelays(const StoreReader &reader) -> bool;
 
+// True if a relay should be watched in place of the store, once one is known to be good.
+auto wantsRelay(const StoreReader &reader) -> bool;
+
 // Watches the preferred relay, which differs between instances so that the relays share them.
 auto switchToPreferredRelay(StoreReader &reader, SourceChangeReason reason, TimePoint now,
                             std::vector<StoreReaderAction> &actions) -> void;
