State no relay's copy younger than it is

A relay told its followers the age of the latest call that the store had answered on any channel, so that they took a copy for recent that was not: in the pause before a watch, while a watch waits on a connection that died in a cut (up to 2.6 s), and at an instance that reads through a relay itself. The bound on the age of a copy rests on these ages.

Change: an answer on another channel counts only if the watch of the kind began before it and after the latest failure. After a failed probe, the first answered one has each copy confirmed at once on new connections.

--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// A watch that works confirms its copy this often at the least, also the first one.
-constexpr Duration longestConfirmation = std::chrono::milliseconds(4000);
+// A watch that works confirms its copy this much later than the store's wait at the latest.
+constexpr Duration confirmationReserve = std::chrono::milliseconds(1000);
 // Probing stops this long after the latest call of another instance.
 constexpr Duration relayIdleTimeout = std::chrono::seconds(5);
 // An instance that may use a relay first learns how many instances there are, before it watches the
@@ -72,10 +72,20 @@
     return notification;
 }
 
+// Asks the store at once whether the copies hold all changes.
+auto confirmCopies(StoreReader &reader, TimePoint now, std::vector<StoreReaderAction> &actions)
+        -> void
+{
+    for (std::size_t index = 0; isBoundedChannel(index); ++index)
+        channelAt(reader, index).sourceAnswered = false;
+    restartObjectCalls(reader, now, actions);
+}
+
 auto recordSuccess(StoreReader &reader, std::size_t index, TimePoint now,
                    std::vector<StoreReaderAction> &actions) -> void
 {
     auto &channel = channelAt(reader, index);
+    const auto isRecovery = channel.failures > 0;
     channel.retryDelay = {};
     channel.failures = 0;
     channel.sourceAnswered = true;
@@ -88,6 +98,9 @@
         reader.failedRelays = 0;
     if (std::exchange(channel.failureReported, false))
         actions.emplace_back(makeNotification(reader, StoreNotificationKind::Reachable, index));
+    // The watches began before the failure and may wait on dead connections.
+    if (isRecovery && static_cast<Channel>(index) == Channel::Probe && !reader.relay)
+        confirmCopies(reader, now, actions);
 }
 
 // The changes of one reply. It may hold several changes of one object, of which the last one
@@ -385,6 +398,20 @@
     }
 }
 
+// True if the channel's watch waited at the store when that answered its latest call, so that the
+// store would have told it of a change.
+auto wasToldOfChanges(const StoreReader &reader, std::size_t index, TimePoint now) -> bool
+{
+    const auto &channel = reader.channels.at(index);
+    const auto watches = channel.running && channel.listed && !channel.unconfirmedSincePause;
+    if (!watches || !reader.storeConfirmedAt || channel.callStartedAt > *reader.storeConfirmedAt)
+        return false;
+    // The connection of a watch may be dead though others work again after a failure.
+    if (reader.storeFailedAt && channel.callStartedAt <= *reader.storeFailedAt)
+        return false;
+    return now - *channel.confirmedAt <= reader.limits.storeWait + confirmationReserve;
+}
+
 } // namespace
 
 auto toString(StoreFailure failure) -> std::string_view
@@ -485,15 +512,16 @@
 auto storeAge(const StoreReader &reader, ObjectKind kind, TimePoint now) -> std::optional<Duration>
 {
     const auto index = static_cast<std::size_t>(kind);
+    const auto isBounded = isBoundedChannel(index);
+    // Calls to the store say nothing of copies that are read elsewhere.
+    if (reader.relay)
+        return copyAge(reader, isBounded ? kind : ObjectKind::Routes, now);
+    const auto answerAge = reader.storeConfirmedAt ? std::optional(now - *reader.storeConfirmedAt)
+                                                   : std::nullopt;
+    if (!isBounded)
+        return answerAge;
     const auto age = copyAge(reader, kind, now);
-    const auto isOld
-            = isBoundedChannel(index) && age
-              && (*age > longestConfirmation || reader.channels.at(index).unconfirmedSincePause);
-    if (isOld)
-        return age;
-    if (!reader.storeConfirmedAt)
-        return {};
-    return now - *reader.storeConfirmedAt;
+    return age && wasToldOfChanges(reader, index, now) ? std::min(age, answerAge) : age;
 }
 
 } // namespace crocusreach::forward
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -264,8 +264,8 @@
 // that the replies to others have a small store age.
 auto recordRelayCall(StoreReader &reader, TimePoint now) -> void;
 
-// How old the copy of a kind may be, for the replies to other instances: the time since the start
-// of the latest call that the store has answered, unless the copy itself is too old.
+// How old the copy of a kind may be, for the replies to other instances. While its watch waits at
+// the store, any answer of the store confirms it.
 auto storeAge(const StoreReader &reader, ObjectKind kind, TimePoint now) -> std::optional<Duration>;
 
 } // namespace crocusreach::forward
--- a/tests/core_storereader.cpp
+++ b/tests/core_storereader.cpp
@@ -578,6 +578,66 @@
     }
 }
 
+// Guards against a relay that states a recent copy on the evidence of calls that say nothing of it.
+SCENARIO("a relay states no copy younger than it is")
+{
+    auto fixture = ReaderFixture();
+    fixture.start({"10.0.0.2:1"}, true);
+    fixture.completeLists(40);
+    recordRelayCall(fixture.reader, fixture.now);
+    fixture.advanceTime(1ms);
+    fixture.takeCalls();
+    const auto leafsAge = [&fixture] {
+        return storeAge(fixture.reader, ObjectKind::Leafs, fixture.now).value();
+    };
+    WHEN("a change has come and the next watch has not begun yet")
+    {
+        fixture.deliver(Channel::Probe, CallSucceeded());
+        fixture.advanceTime(400ms);
+        fixture.deliver(Channel::Leafs,
+                        ObjectsChanged{{ReaderFixture::makeLeafObject("i-2", 12)}, 13});
+        fixture.advanceTime(200ms);
+        REQUIRE(fixture.takeCallOn(Channel::Probe));
+        fixture.deliver(Channel::Probe, CallSucceeded());
+        THEN("an answer on another channel doesn't confirm the copy")
+        {
+            CHECK(leafsAge() == Duration(200ms));
+        }
+    }
+    WHEN("a probe has failed and the next one is answered")
+    {
+        fixture.advanceTime(600ms);
+        fixture.deliver(Channel::Probe, CallFailed{StoreFailure::Unreachable});
+        fixture.advanceTime(250ms);
+        REQUIRE(fixture.takeCallOn(Channel::Probe));
+        fixture.deliver(Channel::Probe, CallSucceeded());
+        THEN("the copy is as old as before, and is confirmed at once by a call of its own")
+        {
+            // Guards against watches on connections that died in a cut: followers got a removal
+            // seconds late, with a store age of milliseconds.
+            CHECK(leafsAge() >= 850ms);
+            CHECK(watchRequestOf(fixture.takeCallOn(Channel::Leafs)).maxWait <= 1ms);
+            fixture.deliver(Channel::Leafs, ObjectsChanged{{}, 13});
+            CHECK(leafsAge() < 1ms);
+        }
+    }
+    WHEN("it is no relay by its own settings any more, and watches another one")
+    {
+        changeSettings(fixture.reader, {"front-1", {"10.0.0.2:1"}, false}, fixture.now,
+                       fixture.actions);
+        fixture.advanceTime(1ms);
+        REQUIRE(fixture.reader.relay);
+        fixture.deliver(Channel::Probe, CallSucceeded());
+        fixture.advanceTime(1s);
+        fixture.confirmCopies(700ms);
+        fixture.deliver(Channel::Probe, CallSucceeded());
+        THEN("its copy is as old as that relay's, however well the store answers")
+        {
+            CHECK(leafsAge() >= 700ms);
+        }
+    }
+}
+
 // Guards against a follower that keeps an old copy because its relay does, while the relay's other
 // calls to the store succeed.
 SCENARIO("a relay's watch hears nothing while a follower reads from it")
