Bound what a target's reply may take in the cell

Operators of another system reported a leaf that sent bytes without end until its caller ran out of memory. Fronts close such connections already (front_links, "a leaf sends bytes without end"). The cell's target client read a reply to its end, however long: a target that kept on sending would have ended the instance, and the requests of all other callers with it.

Change: runtime/boundedread reads at most 8 MB of a reply, 48 MB of all replies together and 16 interim replies, and gives a reply 10 s, a probe 1 s; then the connection is closed and not drained. Replies of the cell's store keep their limit of time only.

--- a/runtime/targettask.cpp
+++ b/runtime/targettask.cpp
@@ -16,6 +16,8 @@
 // Longer than any deadline of a request (3 s); ends a request that nobody cancels.
 constexpr guint socketTimeoutSeconds = 5;
 constexpr guint probeTimeoutSeconds = 1;
+// Ends a reply that goes on and on. Nobody waits for it any more.
+constexpr Duration maxExchangeTime = std::chrono::seconds(10);
 // Several probe intervals (1 s), so that only leafs that are probed no more lose their connection.
 constexpr guint probeIdleSeconds = 5;
 constexpr int mostProbeConnections = 10000;
@@ -137,8 +139,11 @@
     TargetTask::watch(exchange);
     const auto id = exchange.request.send;
     this->exchanges.insert_or_assign(id, std::move(owned));
-    soup_session_send_and_read_async(exchange.session.get(), message, G_PRIORITY_DEFAULT,
-                                     exchange.cancellable.get(), &TargetTask::onEnded, &exchange);
+    sendAndRead(exchange.session.get(), message, exchange.cancellable.get(), this->budget,
+                maxExchangeTime, [this, &exchange](std::string_view body, const GError *error) {
+                    g_signal_handlers_disconnect_by_data(exchange.message.get(), &exchange);
+                    this->complete(exchange, body, error);
+                });
 }
 
 auto TargetTask::handle(ProbeTarget &&request) -> void
@@ -150,16 +155,17 @@
     // loop looks at. libsoup closes a connection whose probe has failed.
     auto session = request.newConnection ? makeSession(1, 0, probeTimeoutSeconds)
                                          : shareObject(this->probeSession.get());
-    auto probe = std::make_unique<Probe>();
-    probe->task = this;
+    auto probe = std::make_shared<Probe>();
     probe->leaf = request.leaf;
     probe->session = std::move(session);
     probe->message = std::move(message);
-    auto &running = *probe.release();
+    probe->cancellable.reset(g_cancellable_new());
     ++this->probesRunning;
-    soup_session_send_and_read_async(running.session.get(), running.message.get(),
-                                     G_PRIORITY_DEFAULT, nullptr, &TargetTask::onProbeEnded,
-                                     &running);
+    sendAndRead(probe->session.get(), probe->message.get(), probe->cancellable.get(), this->budget,
+                std::chrono::seconds(probeTimeoutSeconds),
+                [this, probe](std::string_view /*body*/, const GError *error) {
+                    this->complete(*probe, error);
+                });
 }
 
 auto TargetTask::handle(CancelTargetRequest &&request) -> void
@@ -238,18 +244,7 @@
     g_cancellable_cancel(exchange.cancellable.get());
 }
 
-auto TargetTask::onEnded(GObject *session, GAsyncResult *result, gpointer data) -> void
-{
-    auto &exchange = *static_cast<Exchange *>(data);
-    GError *raised = nullptr;
-    const auto body
-            = BytesPtr(soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
-    const auto error = ErrorPtr(raised);
-    g_signal_handlers_disconnect_by_data(exchange.message.get(), &exchange);
-    exchange.task->complete(exchange, body.get(), error.get());
-}
-
-auto TargetTask::complete(Exchange &exchange, GBytes *body, const GError *error) -> void
+auto TargetTask::complete(Exchange &exchange, std::string_view body, const GError *error) -> void
 {
     const auto &request = exchange.request;
     auto reply = TargetReply{request.send, request.leaf};
@@ -260,7 +255,7 @@
         auto *message = exchange.message.get();
         auto *headers = soup_message_get_response_headers(message);
         readTargetHeaders(headers, reply);
-        readTargetResult(soup_message_get_status(message), headers, viewOf(body), reply);
+        readTargetResult(soup_message_get_status(message), headers, body, reply);
         const auto otherLayout = toUnderlying(reply.layout) != 0 && reply.layout != request.layout;
         if (reply.reason == Reason::VersionNotServed && otherLayout)
             reply.reason = Reason::LayoutNotServed;
@@ -292,22 +287,16 @@
     this->connections.erase(found);
 }
 
-auto TargetTask::onProbeEnded(GObject *session, GAsyncResult *result, gpointer data) -> void
+auto TargetTask::complete(const Probe &probe, const GError *error) -> void
 {
-    const auto probe = std::unique_ptr<Probe>(static_cast<Probe *>(data));
-    GError *raised = nullptr;
-    const auto body
-            = BytesPtr(soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raised));
-    const auto error = ErrorPtr(raised);
-    auto &task = *probe->task;
-    --task.probesRunning;
+    --this->probesRunning;
     auto headers = TargetReply();
     if (error == nullptr)
-        readTargetHeaders(soup_message_get_response_headers(probe->message.get()), headers);
-    if (task.stopping)
+        readTargetHeaders(soup_message_get_response_headers(probe.message.get()), headers);
+    if (this->stopping)
         return;
-    task.outlet(ProbeReply{probe->leaf, error == nullptr, std::move(headers.startId), headers.state,
-                           headers.load});
+    this->outlet(ProbeReply{probe.leaf, error == nullptr, std::move(headers.startId), headers.state,
+                            headers.load});
 }
 
 } // namespace crocusreach
--- a/runtime/targettask.h
+++ b/runtime/targettask.h
@@ -2,6 +2,7 @@
 
 #include "base/gobject.h"
 #include "base/mailbox.h"
+#include "boundedread.h"
 #include "core/dispatch.h"
 
 #include <libsoup/soup.h>
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -68,10 +70,10 @@
 
     struct Probe
     {
-        TargetTask *task = nullptr;
         LeafId leaf = {};
         ObjectPtr<SoupSession> session;
         ObjectPtr<SoupMessage> message;
+        ObjectPtr<GCancellable> cancellable;
     };
 
     using ConnectionKey = std::pair<LeafId, ConnectionIndex>;
@@ -80,7 +82,8 @@
     auto handle(ProbeTarget &&request) -> void;
     auto handle(CancelTargetRequest &&request) -> void;
     auto handle(CloseTargetConnections &&request) -> void;
-    auto complete(Exchange &exchange, GBytes *body, const GError *error) -> void;
+    auto complete(Exchange &exchange, std::string_view body, const GError *error) -> void;
+    auto complete(const Probe &probe, const GError *error) -> void;
     auto release(const Exchange &exchange, bool connectionOpen) -> void;
 
     static auto watch(Exchange &exchange) -> void;
@@ -88,8 +91,6 @@
                                gpointer data) -> void;
     static auto onStarting(SoupMessage *message, gpointer data) -> void;
     static auto onRestarted(SoupMessage *message, gpointer data) -> void;
-    static auto onEnded(GObject *session, GAsyncResult *result, gpointer data) -> void;
-    static auto onProbeEnded(GObject *session, GAsyncResult *result, gpointer data) -> void;
 
     TargetOutlet outlet;
     MainThread thread;
@@ -98,6 +99,7 @@
     ObjectPtr<SoupSession> probeSession;
     std::unordered_map<SendId, std::unique_ptr<Exchange>> exchanges;
     std::size_t probesRunning = 0;
+    ReplyBudget budget;
     bool stopping = false;
 };
 
--- a/tests/runtime_target.cpp
+++ b/tests/runtime_target.cpp
@@ -345,3 +345,66 @@
         }
     }
 }
+
+// Guards against a target that takes up the memory of an instance, and with it all other callers'
+// requests, with an answer that never ends.
+SCENARIO("a target sends bytes without end")
+{
+    constexpr auto most = std::size_t(64) * 1024 * 1024;
+    const auto ok = std::string("HTTP/1.1 200 OK\r\n");
+    const auto answers = std::vector<std::tuple<std::string, std::string, std::string>>{
+            {"a status line", "HTTP/1.1 200 ", "x"},
+            {"one header", ok + "X: ", "x"},
+            {"headers", ok, "X: 1\r\n"},
+            {"a body without a length", ok + "\r\n", "x"},
+            {"a body in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nchunk\r\n"},
+            {"a chunk's extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x"},
+            {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"bytes that are no answer", "", "x"},
+    };
+    for (const auto &[name, head, part] : answers) {
+        GIVEN(name)
+        {
+            auto server = ScriptedServer([&head = head, &part = part](std::string_view) {
+                return Scripted{head, true, part};
+            });
+            auto client = Client();
+            THEN("the connection is closed, and the request may have run")
+            {
+                const auto reply = client.exchange(makeSend(server, 1, true));
+                CHECK(reply.outcome == Outcome::Unknown);
+                CHECK_FALSE(reply.connectionOpen);
+                server.closeConnections();
+                CHECK(server.endlessBytes() < most);
+            }
+            THEN("a probe fails, and its connection is closed")
+            {
+                client.task.post(ProbeTarget{leaf, server.address(), false});
+                const auto reply = client.replies.takeAlternative<ProbeReply>();
+                REQUIRE(reply);
+                CHECK_FALSE(reply->answered);
+                server.closeConnections();
+                CHECK(server.endlessBytes() < most);
+            }
+        }
+    }
+    GIVEN("many targets whose answers are each within the limit and don't end")
+    {
+        constexpr auto targets = std::uint64_t(24);
+        const auto part = ok + "Content-Length: 8000000\r\n\r\n" + std::string(7'000'000, 'x');
+        auto server = ScriptedServer([&](std::string_view) { return Scripted{part, false, {}}; });
+        auto client = Client();
+        for (auto id = std::uint64_t(1); id <= targets; ++id) {
+            auto send = makeSend(server, id, true);
+            send.leaf = LeafId(100 + id);
+            client.task.post(std::move(send));
+        }
+        THEN("those beyond the limit of all answers together fail")
+        {
+            const auto reply = client.replies.takeAlternative<TargetReply>();
+            REQUIRE(reply);
+            CHECK(reply->outcome == Outcome::Unknown);
+            server.closeConnections();
+        }
+    }
+}
--- a/tests/scriptedserver.cpp
+++ b/tests/scriptedserver.cpp
@@ -97,6 +97,21 @@
     }
 }
 
+auto ScriptedServer::sendEndlessly(int socket, std::string_view part) -> void
+{
+    constexpr auto blockSize = std::size_t(65536);
+    auto block = std::string();
+    while (block.size() < blockSize)
+        block += part;
+    for (auto sent = std::size_t(0); sent < endlessLimit;) {
+        const auto size = send(socket, block.data(), block.size(), MSG_NOSIGNAL);
+        if (size <= 0)
+            return;
+        sent += static_cast<std::size_t>(size);
+        this->endlessByteCount += static_cast<std::size_t>(size);
+    }
+}
+
 auto ScriptedServer::serve(int socket) -> void
 {
     auto read = std::string();
@@ -118,6 +133,8 @@
         }
         read.erase(0, request.size());
         send(socket, scripted.reply.data(), scripted.reply.size(), MSG_NOSIGNAL);
+        if (!scripted.endless.empty())
+            this->sendEndlessly(socket, scripted.endless);
         open = !scripted.close;
     }
     const auto lock = std::lock_guard(this->mutex);
--- a/tests/scriptedserver.h
+++ b/tests/scriptedserver.h
@@ -17,8 +17,12 @@
 {
     std::string reply; // complete HTTP reply; empty: none
     bool close = false; // closes the connection afterwards
+    std::string endless; // sent after the reply, again and again; empty: nothing
 };
 
+// The server stops endless bytes here, so that a test ends also if nobody closes the connection.
+constexpr auto endlessLimit = std::size_t(192) * 1024 * 1024;
+
 // A reply with status 200 and the JSON body.
 auto okReply(std::string_view body, std::string_view headers = {}) -> std::string;
 
@@ -36,18 +40,22 @@
     auto address() const -> std::string;
     auto requests() const -> int { return this->requestCount; }
     auto connections() const -> int { return this->connectionCount; }
+    // Bytes that were sent without end, on all connections.
+    auto endlessBytes() const -> std::size_t { return this->endlessByteCount; }
     // Closes the connections that are open and waits until their threads have ended.
     auto closeConnections() -> void;
 
 private:
     auto acceptAll() -> void;
     auto serve(int socket) -> void;
+    auto sendEndlessly(int socket, std::string_view part) -> void;
 
     Script script;
     int listener = -1; // owned
     int port = 0;
     std::atomic<int> requestCount = 0;
     std::atomic<int> connectionCount = 0;
+    std::atomic<std::size_t> endlessByteCount = 0;
     std::mutex mutex; // guards the members below and the calls of the script
     std::vector<int> sockets; // owned
     std::vector<std::thread> threads;
