Let the soak stop all seeds at once

With more than 12 fronts, it now ends with all seeds standing still while a leaf leaves and the desired state changes; the other fronts must keep to the same times as ever, and all must recover.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr std::size_t seedCount = 3;
+
 constexpr auto exitSuccess = 0;
 constexpr auto exitStoppedEarly = 3;
 // Its libraries load within some ten milliseconds, longer beside other load.
@@ -60,10 +62,15 @@
     }
 }
 
+auto seedsOf(Fleet &fleet) -> std::span<FrontProcess>
+{
+    return std::span(fleet.fronts).first(std::min(seedCount, fleet.fronts.size()));
+}
+
 auto writeSettings(const Fleet &fleet, const FrontProcess &front, std::uint32_t change) -> void
 {
     auto seeds = std::string();
-    for (std::size_t number = 0; number < std::min<std::size_t>(3, fleet.fronts.size()); ++number)
+    for (std::size_t number = 0; number < std::min(seedCount, fleet.fronts.size()); ++number)
         seeds += (seeds.empty() ? "" : ",") + withPort(fleet, fleet.fronts[number], 2);
     const auto next = front.settingsPath + ".new";
     {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
 auto callerAddress(const Fleet &fleet, const FrontProcess &front) -> std::string;
 auto readyAddress(const Fleet &fleet, const FrontProcess &front) -> std::string;
 
+// The fronts that the settings name as seeds: those that others read the store through.
+auto seedsOf(Fleet &fleet) -> std::span<FrontProcess>;
+
 // Adds fronts in three failure domains. Doesn't start them.
 auto addFronts(Fleet &fleet, std::size_t count) -> void;
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <thread>
 
 // Runs fronts as real processes on loopback, harms them from outside by a seeded schedule, and
@@ -42,6 +43,8 @@
 constexpr auto replicas = 3;
 // A change of the desired state is in force everywhere after this time if the store is sound.
 constexpr auto applyTime = 3s;
+// With more fronts than this, they read the store through the seeds.
+constexpr auto fewestFollowers = 12U;
 // After the last fault, everything is served again after this time.
 constexpr auto recoveryTime = 12s;
 
@@ -394,6 +397,41 @@
     return findings;
 }
 
+// While all seeds stand still and the store is sound, the other fronts stop using a leaf that has
+// left, and have a new desired state in force, as soon as ever.
+auto checkWithoutSeeds(Surroundings &world, Fleet &fleet) -> std::vector<std::string>
+{
+    auto findings = std::vector<std::string>();
+    const auto seeds = seedsOf(fleet);
+    for (auto &seed : seeds)
+        signalFront(seed, SIGSTOP);
+    // The changes meet the fronts' copies at any age.
+    std::this_thread::sleep_for(std::chrono::milliseconds(world.random() % 3000));
+    const auto &[id, leaf] = world.pickLeaf();
+    std::cout << "without seeds: remove the entry of " << id << '\n';
+    world.worker.run([&] { world.store->remove(leafKind, id); });
+    world.currentSet = 1 - world.currentSet;
+    world.configure(world.currentSet);
+    std::this_thread::sleep_for(applyTime);
+    const auto before = leaf.leaf->runs();
+    const auto prefix = "set" + std::to_string(world.currentSet) + "-";
+    for (const auto &front : std::span(fleet.fronts).subspan(seeds.size())) {
+        const auto response
+                = askOnce(callerAddress(fleet, front), "/all/x", "without-seeds-" + front.name);
+        const auto parts = response ? findHeader(*response, partReceiptsHeader)
+                                    : std::optional<std::string_view>();
+        if (parts && !parts->starts_with(prefix))
+            findings.push_back(front.name + " used an old desired state without the seeds");
+    }
+    std::this_thread::sleep_for(500ms);
+    if (leaf.leaf->runs() != before)
+        findings.push_back("leaf " + id + " was used after it had left, without the seeds");
+    for (auto &seed : seeds)
+        signalFront(seed, SIGCONT);
+    world.enter(id);
+    return findings;
+}
+
 auto stopAll(Fleet &fleet) -> void
 {
     for (auto &front : fleet.fronts)
@@ -450,6 +488,10 @@
     playFaults(world, fleet, std::chrono::seconds(FLAGS_seconds));
     append(findings, checkRecovery(world, fleet));
     append(findings, checkChanges(world, callers));
+    if (FLAGS_fronts > fewestFollowers) {
+        append(findings, checkWithoutSeeds(world, fleet));
+        append(findings, checkRecovery(world, fleet));
+    }
     callers.stop();
     findEnded(fleet);
     stopAll(fleet);
