Call the parser of requests only with bytes

It looks for requests every 20 ms, also on connections without new bytes, and http_parser takes an empty input for the end of the connection, an error in the midst of a message.

--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -130,7 +130,10 @@
 
 auto HttpListener::parseInput(Connection &connection) -> void
 {
-    if (!connection.reader.isInMessage() && !connection.input.empty())
+    // The parser would take an empty input for the end of the connection.
+    if (connection.input.empty())
+        return;
+    if (!connection.reader.isInMessage())
         connection.since = decisionNow();
     const auto taken = connection.reader.feed(connection.input);
     connection.input.erase(0, taken);
--- a/tests/front_listener.cpp
+++ b/tests/front_listener.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <memory>
+#include <string>
 #include <vector>
 
 using namespace crocusreach;
@@ -21,18 +22,21 @@
         this->thread.run([this] {
             this->listener = std::make_unique<HttpListener>(
                     this->thread.reactor(),
-                    HttpListenerEvents{[this](CallerId caller, HttpMessage &&request) {
-                                           this->requests.push_back(request);
-                                           ++this->arrived;
-                                           if (this->beforeAnswer)
-                                               this->beforeAnswer();
-                                           if (request.target != "/wait")
-                                               this->listener->respond(caller, 200, {},
-                                                                       request.target);
-                                           else
-                                               this->waiting = caller;
-                                       },
-                                       [this](CallerId) { ++this->left; }});
+                    HttpListenerEvents{
+                            [this](CallerId caller, HttpMessage &&request) {
+                                this->requests.push_back(request);
+                                ++this->arrived;
+                                if (this->beforeAnswer)
+                                    this->beforeAnswer();
+                                if (request.target == "/large")
+                                    return this->listener->respond(caller, 200, {},
+                                                                   std::string(largeSize, 'x'));
+                                if (request.target != "/wait")
+                                    this->listener->respond(caller, 200, {}, request.target);
+                                else
+                                    this->waiting = caller;
+                            },
+                            [this](CallerId) { ++this->left; }});
             auto limits = HttpListenerLimits();
             limits.message = {2000, 1000};
             limits.headerTimeout = 600ms;
@@ -151,6 +155,30 @@
     }
 }
 
+// Guards against a 400 for a proper request of which a stopping instance has read a part
+// (review/4).
+SCENARIO("an instance that stops finds requests that are not whole")
+{
+    auto bench = ListenerBench();
+    const auto request = GENERATE(
+            as<std::string>(), "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd",
+            "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nabcd\r\n0\r\n\r\n",
+            "GET /p HTTP/1.1\r\nHost: a\r\n\r\n");
+    for (std::size_t size = 1; size < request.size(); ++size) {
+        auto client = TestClient(bench.address);
+        client.send(request.substr(0, size));
+        // The listener looks for requests again and again while it stops.
+        for (auto turn = 0; turn < 3; ++turn)
+            bench.thread.run([&] { bench.listener->closeIdle(); });
+        client.send(request.substr(size));
+        INFO("stop after " << size << " bytes");
+        const auto response = client.receive();
+        REQUIRE(response);
+        CHECK(response->status == 200);
+    }
+}
+
 SCENARIO("what a caller may send is limited")
 {
     auto bench = ListenerBench();
