Finish an answer that its caller is reading

The time that a connection lingers counted from the answer, not from its last byte.

Change: the time counts from the latest byte that the caller took; a caller that takes nothing is dropped after the idle timeout of the desired state.

--- a/front/httplistener.cpp
+++ b/front/httplistener.cpp
@@ -201,9 +201,12 @@
 // False if the connection has ended.
 auto HttpListener::write(Connection &connection) -> bool
 {
+    const auto before = connection.written;
     const auto status = writeSome(connection.socket.get(), connection.output, connection.written);
     if (status == IoStatus::Broken)
         return false;
+    if (connection.written > before)
+        connection.since = decisionNow();
     if (status == IoStatus::Ok) {
         connection.output.clear();
         connection.written = 0;
@@ -278,7 +281,9 @@
         const auto age = now - connection->since;
         const auto reading = connection->phase == Phase::Reading;
         const auto inMessage = connection->reader.isInMessage();
-        if (connection->phase == Phase::Closing && age > lingerTime)
+        // A caller that takes nothing of its answer for this long has gone.
+        const auto closingTime = connection->output.empty() ? lingerTime : this->limits.idleTimeout;
+        if (connection->phase == Phase::Closing && age > closingTime)
             ended.push_back(id);
         if (reading && !inMessage && age > this->limits.idleTimeout)
             ended.push_back(id);
--- a/front/httplistener.h
+++ b/front/httplistener.h
@@ -85,7 +85,9 @@
         bool noBody = false; // the request was a HEAD
         bool used = false; // has carried a request
         bool invited = false; // the caller was told to send its body
-        TimePoint since = {}; // start of the request, of the idle time or of the closing
+        // Start of the request, of the idle time or of the closing, or the latest time that the
+        // caller took a part of its answer.
+        TimePoint since = {};
     };
 
     auto acceptAll() -> void;
--- a/tests/front_listener.cpp
+++ b/tests/front_listener.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace crocusreach;
@@ -14,7 +15,11 @@
 
 namespace {
 
-// A listener that answers each request with its target, unless the target says to wait.
+// More than the kernel takes at once.
+constexpr auto largeSize = std::size_t(7'500'000);
+
+// A listener that answers each request with its target, unless the target says to wait or to give a
+// large answer.
 struct ListenerBench
 {
     ListenerBench()
@@ -179,6 +184,47 @@
     }
 }
 
+// Guards against answers that are cut off although their caller reads all the time (review/5).
+SCENARIO("a caller takes a large answer slowly")
+{
+    auto bench = ListenerBench();
+    auto client = TestClient(bench.address);
+    const auto ends = GENERATE(true, false);
+    WHEN(std::string("it pauses for longer than a connection lingers, on a connection that ")
+         + (ends ? "ends" : "stays"))
+    {
+        client.send(std::string("GET /large HTTP/1.1\r\nHost: a\r\n")
+                    + (ends ? "Connection: close\r\n\r\n" : "\r\n"));
+        REQUIRE(awaitTrue([&] { return bench.arrived == 1; }));
+        std::this_thread::sleep_for(1700ms);
+        THEN("it gets the whole answer")
+        {
+            bench.thread.run([&] { CHECK(bench.listener->openRequests() == 1); });
+            const auto response = client.receive();
+            REQUIRE(response);
+            CHECK(response->body.size() == largeSize);
+        }
+    }
+    WHEN("it takes nothing any more")
+    {
+        bench.thread.run([&] {
+            auto limits = HttpListenerLimits();
+            limits.idleTimeout = 300ms;
+            bench.listener->setLimits(limits);
+        });
+        client.send("GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        REQUIRE(awaitTrue([&] { return bench.arrived == 1; }));
+        THEN("the connection is dropped after the idle timeout")
+        {
+            CHECK(awaitTrue([&] {
+                auto open = std::size_t(1);
+                bench.thread.run([&] { open = bench.listener->openRequests(); });
+                return open == 0;
+            }));
+        }
+    }
+}
+
 SCENARIO("what a caller may send is limited")
 {
     auto bench = ListenerBench();
