Settle which leaf has an address by evidence

The newer of two entries counted whatever it said.

Change: a leaf that has answered there as another one comes last, then a service that a route names comes first, then the newest entry. Claims are settled again with each entry that comes, changes or goes, with the routes, and with a 421.

--- a/core/forwardconnections.cpp
+++ b/core/forwardconnections.cpp
@@ -45,7 +45,8 @@
 auto closeUnusedConnections(Forwarder &forwarder, std::vector<ForwardAction> &actions) -> void
 {
     for (auto &leaf : forwarder.leafs.leafs) {
-        if (leaf.connections.empty() || (leaf.listed && !leaf.record.draining && !leaf.misdirected))
+        if (leaf.connections.empty()
+            || (leaf.listed && !leaf.record.draining && !leaf.misdirected && !leaf.displaced))
             continue;
         const auto connections = leaf.connections;
         for (const auto &connection : connections) {
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -118,7 +118,6 @@
     }
     switch (answer.kind) {
     case LeafAnswerKind::OtherLeaf:
-        leaf.misdirected = true;
         return;
     case LeafAnswerKind::NotRun:
     case LeafAnswerKind::Failure:
@@ -278,6 +277,8 @@
         reportFailedSend(forwarder, *call->second, send, toRetryReason(event.answer.kind), now,
                          actions);
     recordLeafAnswer(leaf, send, event.answer, now);
+    if (event.answer.kind == LeafAnswerKind::OtherLeaf)
+        markMisdirected(forwarder.leafs, send.leaf);
     const auto requestId = call == forwarder.calls.end()
                                    ? std::string_view()
                                    : std::string_view(call->second->request->id);
@@ -337,12 +338,24 @@
     advanceWaitingCalls(forwarder, now, actions);
 }
 
+auto routedServicesOf(const RouteTable &table) -> std::set<std::string, std::less<>>
+{
+    auto services = std::set<std::string, std::less<>>();
+    for (const auto &route : table.routes) {
+        services.insert(route.shards.begin(), route.shards.end());
+        for (const auto &part : route.split)
+            services.insert(part.service);
+    }
+    return services;
+}
+
 auto onEvent(Forwarder &forwarder, const RoutesChanged &event, TimePoint /*now*/,
              std::vector<ForwardAction> & /*actions*/) -> void
 {
     if (forwarder.table != nullptr && event.table->version <= forwarder.table->version)
         return;
     forwarder.table = event.table;
+    setRoutedServices(forwarder.leafs, routedServicesOf(*event.table));
 }
 
 auto onEvent(Forwarder &forwarder, const RoutesConfirmed &event, TimePoint /*now*/,
--- a/core/leaftable.cpp
+++ b/core/leaftable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace crocusreach::forward {
@@ -34,9 +35,56 @@
 // by its number, and none lasts nearly as long.
 constexpr Duration rowRetention = std::chrono::minutes(10);
 
+// How good an entry's claim to its address is. An entry that no request may go to may be a stray
+// one, and a leaf that was not there when it was asked has none.
+auto claimOf(const LeafTable &table, const LeafState &leaf) -> std::tuple<bool, bool, std::uint64_t>
+{
+    return std::tuple(!leaf.misdirected, table.routedServices.contains(leaf.record.service),
+                      leaf.record.revision);
+}
+
+// Decides which of the listed leafs with an address is there.
+auto settleAddress(LeafTable &table, const std::string &address) -> void
+{
+    const auto found = table.byAddress.find(address);
+    if (found == table.byAddress.end())
+        return;
+    const auto &claimants = found->second;
+    const auto best = *std::max_element(
+            claimants.begin(), claimants.end(), [&table](LeafNumber left, LeafNumber right) {
+                return claimOf(table, leafAt(table, left)) < claimOf(table, leafAt(table, right));
+            });
+    for (const auto index : claimants)
+        leafAt(table, index).displaced = index != best;
+}
+
+auto releaseAddress(LeafTable &table, LeafNumber index) -> void
+{
+    const auto address = leafAt(table, index).record.address;
+    const auto found = table.byAddress.find(address);
+    if (found == table.byAddress.end())
+        return;
+    std::erase(found->second, index);
+    if (found->second.empty())
+        table.byAddress.erase(found);
+    else
+        settleAddress(table, address);
+}
+
+auto claimAddress(LeafTable &table, LeafNumber index) -> void
+{
+    const auto &address = leafAt(table, index).record.address;
+    auto &claimants = table.byAddress[address];
+    if (std::find(claimants.begin(), claimants.end(), index) == claimants.end())
+        claimants.push_back(index);
+    settleAddress(table, address);
+}
+
 auto unlist(LeafTable &table, LeafNumber index, TimePoint now) -> void
 {
     auto &leaf = leafAt(table, index);
+    releaseAddress(table, index);
+    leaf.displaced = false;
     leaf.listed = false;
     leaf.unlistedAt = now;
     table.unlisted.push_back(index);
@@ -61,30 +109,6 @@
     leaf.failureRateAt = now;
 }
 
-auto releaseAddress(LeafTable &table, LeafNumber index) -> void
-{
-    const auto found = table.byAddress.find(leafAt(table, index).record.address);
-    if (found != table.byAddress.end() && found->second == index)
-        table.byAddress.erase(found);
-}
-
-// Records that a leaf has its address. If entries of two leafs have the same address, the leaf with
-// the older entry is gone and counts as misdirected.
-auto claimAddress(LeafTable &table, LeafNumber index) -> void
-{
-    auto &leaf = leafAt(table, index);
-    const auto [entry, isNew] = table.byAddress.try_emplace(leaf.record.address, index);
-    if (isNew || entry->second == index)
-        return;
-    auto &other = leafAt(table, entry->second);
-    if (other.listed && leaf.record.revision < other.record.revision) {
-        leaf.misdirected = true;
-        return;
-    }
-    other.misdirected = other.misdirected || other.listed;
-    entry->second = index;
-}
-
 // True if nothing refers to the row of an unlisted leaf any more.
 auto canReuseRow(const LeafState &leaf, TimePoint now) -> bool
 {
@@ -105,7 +129,6 @@
     const auto index = unlisted.front();
     unlisted.pop_front();
     auto &leaf = leafAt(table, index);
-    releaseAddress(table, index);
     table.byId.erase(leaf.record.id);
     leaf = LeafState();
     return index;
@@ -142,7 +165,7 @@
         return;
     if (leaf.listed && leaf.record.service != record.service)
         unlist(table, index, now);
-    if (leaf.record.address != record.address)
+    if (leaf.listed && leaf.record.address != record.address)
         releaseAddress(table, index);
     const auto restarted
             = leaf.record.startedAt != record.startedAt || leaf.record.address != record.address;
@@ -161,6 +184,25 @@
         table.byService[record.service].push_back(index);
 }
 
+auto setRoutedServices(LeafTable &table, std::set<std::string, std::less<>> services) -> void
+{
+    if (services == table.routedServices)
+        return;
+    table.routedServices = std::move(services);
+    for (const auto &[address, claimants] : table.byAddress) {
+        if (claimants.size() > 1)
+            settleAddress(table, address);
+    }
+}
+
+auto markMisdirected(LeafTable &table, LeafNumber index) -> void
+{
+    auto &leaf = leafAt(table, index);
+    leaf.misdirected = true;
+    if (leaf.listed)
+        settleAddress(table, leaf.record.address);
+}
+
 auto removeLeaf(LeafTable &table, std::string_view id, TimePoint effectiveAt, TimePoint now) -> void
 {
     const auto found = table.byId.find(std::string(id));
@@ -193,7 +235,7 @@
 
 auto isUsable(const LeafTable &table, const LeafState &leaf, TimePoint now) -> bool
 {
-    return leaf.listed && !leaf.record.draining && !leaf.misdirected
+    return leaf.listed && !leaf.record.draining && !leaf.misdirected && !leaf.displaced
            && !hasLeft(leaf.statements, now)
            && !table.evacuatedDomains.contains(leaf.record.domain);
 }
--- a/core/leaftable.h
+++ b/core/leaftable.h
@@ -73,6 +73,7 @@
     std::optional<TimePoint> removeAt; // when a pending removal takes effect
     std::optional<TimePoint> unlistedAt; // when it stopped being listed; empty while it is
     bool misdirected = false; // another leaf answered at the address
+    bool displaced = false; // the entry of another leaf has the better claim to the address
     bool preferred = true; // this instance keeps connections to it
     double connectionShare = 1; // connections that this instance may keep to it, at most 1
     std::uint64_t idHash = 0;
@@ -101,7 +102,8 @@
     std::deque<LeafState> leafs;
     std::unordered_map<std::string, LeafNumber> byId;
     std::unordered_map<std::string, std::vector<LeafNumber>> byService; // listed leafs only
-    std::unordered_map<std::string, LeafNumber> byAddress; // the leaf with the newest entry
+    std::unordered_map<std::string, std::vector<LeafNumber>> byAddress; // listed leafs only
+    std::set<std::string, std::less<>> routedServices; // those that requests may go to
     std::deque<LeafNumber> unlisted; // oldest first; some are listed again
     std::set<std::string, std::less<>> evacuatedDomains; // failure domains that get no requests
     std::optional<TimePoint> nextRemovalAt; // earliest removeAt
@@ -112,6 +114,12 @@
 // Adds or updates a leaf by its entry in the registry. An older revision is ignored.
 auto putLeaf(LeafTable &table, const LeafRecord &record, TimePoint now) -> void;
 
+// Sets the services that the desired state's routes name.
+auto setRoutedServices(LeafTable &table, std::set<std::string, std::less<>> services) -> void;
+
+// Records that another leaf answered at the leaf's address.
+auto markMisdirected(LeafTable &table, LeafNumber index) -> void;
+
 // Schedules the removal of a leaf whose entry has left the registry. Entries also expire while the
 // registry is unavailable, so the removal takes effect only at the given time, unless the entry is
 // back by then. A leaf that was draining is removed at once.
--- a/tests/core_forwarder_parts.cpp
+++ b/tests/core_forwarder_parts.cpp
@@ -246,6 +246,115 @@
     }
 }
 
+// Guards against a leaf that gets no requests since a stray entry names its address (review/1), and
+// against requests to a leaf whose address another one has in earnest.
+SCENARIO("the entries of two leafs name one address")
+{
+    auto table = LeafTable();
+    const auto now = TimePoint(1h);
+    const auto makeRecord = [](const char *id, const char *service, std::uint64_t revision) {
+        auto record = LeafRecord();
+        record.id = id;
+        record.service = service;
+        record.address = "10.0.0.1:80";
+        record.revision = revision;
+        return record;
+    };
+    const auto isUsed = [&](const char *id) {
+        return isUsable(table, leafAt(table, table.byId.at(id)), now);
+    };
+    const auto older = makeRecord("older", "ledger", 5);
+    // In each order of arrival, also after a restart that has lost all memory.
+    const auto putBoth = [&](const LeafRecord &newer, int order) {
+        const auto routed = std::set<std::string, std::less<>>{"ledger", "archive"};
+        if (order % 3 == 0)
+            setRoutedServices(table, routed);
+        putLeaf(table, order < 3 ? older : newer, now);
+        if (order % 3 == 1)
+            setRoutedServices(table, routed);
+        putLeaf(table, order < 3 ? newer : older, now);
+        if (order % 3 == 2)
+            setRoutedServices(table, routed);
+    };
+    const auto order = GENERATE(0, 1, 2, 3, 4, 5);
+    INFO("order " << order);
+    GIVEN("a newer entry of a service that no route names")
+    {
+        putBoth(makeRecord("newer", "ledger-old", 6), order);
+        THEN("the leaf with the older entry is used")
+        {
+            CHECK(isUsed("older"));
+        }
+        WHEN("a desired state names its service")
+        {
+            setRoutedServices(table, {"ledger", "ledger-old"});
+            THEN("the newer entry counts")
+            {
+                CHECK(isUsed("newer"));
+                CHECK_FALSE(isUsed("older"));
+            }
+        }
+        WHEN("the older leaf isn't there any more when it is asked")
+        {
+            markMisdirected(table, table.byId.at("older"));
+            THEN("the newer entry counts, before a route names its service")
+            {
+                CHECK(isUsed("newer"));
+                CHECK_FALSE(isUsed("older"));
+            }
+        }
+    }
+    GIVEN("a newer entry of a service that a route names")
+    {
+        putBoth(makeRecord("newer", "archive", 6), order);
+        THEN("the newer entry counts")
+        {
+            CHECK(isUsed("newer"));
+            CHECK_FALSE(isUsed("older"));
+        }
+        WHEN("the leaf that is there says that it is another one")
+        {
+            markMisdirected(table, table.byId.at("newer"));
+            THEN("the older entry counts again")
+            {
+                CHECK(isUsed("older"));
+                CHECK_FALSE(isUsed("newer"));
+            }
+            AND_WHEN("that one isn't there either")
+            {
+                markMisdirected(table, table.byId.at("older"));
+                THEN("none is used until its entry changes")
+                {
+                    CHECK_FALSE(isUsed("older"));
+                    CHECK_FALSE(isUsed("newer"));
+                    putLeaf(table, makeRecord("older", "ledger", 7), now);
+                    CHECK(isUsed("older"));
+                }
+            }
+        }
+        WHEN("the newer entry is removed")
+        {
+            removeLeaf(table, "newer", now, now);
+            applyRemovals(table, now);
+            THEN("the older entry counts again")
+            {
+                CHECK(isUsed("older"));
+            }
+        }
+        WHEN("the newer leaf moves to another address")
+        {
+            auto moved = makeRecord("newer", "archive", 8);
+            moved.address = "10.0.0.2:80";
+            putLeaf(table, moved, now);
+            THEN("both are used")
+            {
+                CHECK(isUsed("older"));
+                CHECK(isUsed("newer"));
+            }
+        }
+    }
+}
+
 SCENARIO("a send goes to the leaf with the lowest expected latency")
 {
     auto table = LeafTable();
