--- a/front/frontlog.cpp
+++ b/front/frontlog.cpp
@@ -23,9 +23,9 @@
 }
 
 // Address of a relay, or the store.
-auto sourceText(const std::string &address) -> std::string
+auto sourceText(std::string_view address) -> std::string
 {
-    return address.empty() ? "store" : address;
+    return std::string(address.empty() ? "store" : address);
 }
 
 auto log(const LeafsRegistered &event) -> void
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -407,7 +407,9 @@
         signalFront(seed, SIGSTOP);
     // The changes meet the fronts' copies at any age.
     std::this_thread::sleep_for(std::chrono::milliseconds(world.random() % 3000));
-    const auto &[id, leaf] = world.pickLeaf();
+    const auto &picked = world.pickLeaf();
+    const auto &id = picked.first;
+    const auto &leaf = picked.second;
     std::cout << "without seeds: remove the entry of " << id << '\n';
     world.worker.run([&] { world.store->remove(leafKind, id); });
     world.currentSet = 1 - world.currentSet;
--- a/tests/core_copyage.cpp
+++ b/tests/core_copyage.cpp
@@ -58,9 +58,9 @@
 
 // A reader with three relays that fail in any way, and a store that answers each call. The store
 // has one leaf, until it is removed.
-struct RelayedReader
+struct FollowerSimulation
 {
-    explicit RelayedReader(std::uint32_t seed = 1, const ChangeTimeouts &timeouts = {})
+    explicit FollowerSimulation(std::uint32_t seed = 1, const ChangeTimeouts &timeouts = {})
         : random(seed)
     {
         auto settings = StoreReaderSettings();
@@ -360,7 +360,7 @@
     const auto timeout = GENERATE(3s, 5s, 6s);
     auto timeouts = ChangeTimeouts();
     timeouts.routes = timeouts.drain = timeout;
-    auto instance = RelayedReader(1, timeouts);
+    auto instance = FollowerSimulation(1, timeouts);
     REQUIRE(instance.reader.relay);
     WHEN("all of them are sound")
     {
@@ -419,7 +419,7 @@
     for (auto seed = first; seed < first + count; ++seed) {
         auto timeouts = ChangeTimeouts();
         timeouts.routes = timeouts.drain = std::array<Duration, 4>{2s, 3s, 5s, 8s}.at(seed % 4);
-        auto instance = RelayedReader(seed, timeouts);
+        auto instance = FollowerSimulation(seed, timeouts);
         // In some runs, the store's answer to a call is lost now and then.
         instance.lostCalls = seed % 3 == 0 ? 400 : 0;
         instance.leafsChange = seed % 2 == 0;
@@ -445,7 +445,7 @@
     for (auto seed = first; seed < first + 4 * count; ++seed) {
         auto timeouts = ChangeTimeouts();
         timeouts.routes = timeouts.drain = std::array<Duration, 3>{3s, 5s, 6s}.at(seed % 3);
-        auto instance = RelayedReader(seed, timeouts);
+        auto instance = FollowerSimulation(seed, timeouts);
         instance.lostCalls = seed % 5 == 0 ? 40 : 0;
         instance.leafsChange = seed % 2 == 0;
         REQUIRE(instance.usesLeaf());
