--- a/core/storereader.h
+++ b/core/storereader.h
@@ -228,9 +228,8 @@
     std::size_t nextCandidate = 0; // index of the relay to be asked next
     std::size_t failedCandidates = 0; // in a row
     TimePoint storeStayUntil = {}; // no relay is asked before
-    TimePoint relaySince
-            = {}; // start of the time in which relays have been watched without a break
-    std::uint32_t shortRelayStays = 0; // such times in a row that were short
+    TimePoint relaySince = {}; // relays have been watched without a break since then
+    std::uint32_t shortRelayStays = 0; // in a row, before a switch back to the store
     std::optional<TimePoint> storeFailedAt; // latest failure of a call to the store
     // Latest end of a time in which the copy of the leafs was not confirmed for so long that
     // entries may have expired.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -397,8 +397,8 @@
     return findings;
 }
 
-// While all seeds stand still and the store is sound, the other fronts stop using a leaf that has
-// left, and have a new desired state in force, as soon as ever.
+// While all seeds stand still and the store is sound, the other fronts must stop using a leaf that
+// has left, and have a new desired state in force, within the apply time.
 auto checkWithoutSeeds(Surroundings &world, Fleet &fleet) -> std::vector<std::string>
 {
     auto findings = std::vector<std::string>();
