Show two owners of one tenant's quota beside a cut

Cause: an instance counts as the owner of a tenant's tokens by the last list of instances that it has read, however old.

--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -394,13 +394,8 @@
         const auto rest = path.substr(prefix.size());
         const auto kind = rest.substr(0, rest.find('/'));
         auto lock = std::unique_lock(this->mutex);
-        if (request.method() != "GET") {
-            const auto from = request.body.find(R"("name":")") + 8;
-            const auto name = request.body.substr(from, request.body.find('"', from) - from);
-            this->objects[{kind, name}] = {"{}", ++this->revision, false};
-            this->changed.notify_all();
-            return responseText(200, this->era, textOf(name, this->objects[{kind, name}]));
-        }
+        if (request.method() != "GET")
+            return this->write(request, kind);
         const auto since = queryNumber(target, "watch");
         const auto wait = std::chrono::milliseconds(std::max(0L, queryNumber(target, "wait_ms")));
         const auto hasNews = [&] {
@@ -425,6 +420,43 @@
         return responseText(200, this->era, text);
     }
 
+    // The text of an object in a body, up to its end.
+    static auto memberText(const std::string &body, const std::string &key) -> std::string
+    {
+        const auto from = body.find("\"" + key + "\":");
+        const auto begin = body.find('{', from);
+        if (from == std::string::npos || begin == std::string::npos)
+            return "{}";
+        auto depth = 0;
+        for (auto at = begin; at < body.size(); ++at) {
+            depth += body[at] == '{' ? 1 : body[at] == '}' ? -1 : 0;
+            if (depth == 0)
+                return body.substr(begin, at - begin + 1);
+        }
+        return "{}";
+    }
+
+    // POST creates an object, and PUT replaces the one of the revision in its meta data.
+    auto write(const Message &request, const std::string &kind) -> std::string
+    {
+        const auto meta = memberText(request.body, "meta");
+        const auto from = meta.find(R"("name":")") + 8;
+        const auto name = meta.substr(from, meta.find('"', from) - from);
+        const auto found = this->objects.find({kind, name});
+        const auto exists = found != this->objects.end() && !found->second.deleted;
+        const auto at = meta.find(R"("revision":)");
+        const auto isStale = exists && at != std::string::npos
+                             && std::atol(meta.c_str() + at + 11) != found->second.revision;
+        if ((request.method() == "POST" && exists) || isStale)
+            return responseText(409, this->era, textOf(name, found->second));
+        if (request.method() == "PUT" && !exists)
+            return responseText(404, this->era, "{}");
+        auto &object = this->objects[{kind, name}];
+        object = {memberText(request.body, "spec"), ++this->revision, false};
+        this->changed.notify_all();
+        return responseText(200, this->era, textOf(name, object));
+    }
+
     auto serve(Socket socket) -> void
     {
         auto reader = Reader(socket.get());
